Close client connections on which no whole request comes in time

A peer that sent nothing whole kept its connection, and with it its place in the socket budget, for 120 s; half a body kept it for as long as the peer said it would wait.

--- a/proxy/src/clients.rs
+++ b/proxy/src/clients.rs
@@ -32,8 +32,11 @@
 const LAST_MOMENT: Duration = Duration::from_millis(5);
 /// No client waits for longer than this.
 const REMAINING_MOST: u64 = 600_000;
-/// A connection on which no request has begun for so long is closed.
-const HEAD_WITHIN: Duration = Duration::from_secs(120);
+/// A connection on which no head has come whole for so long is closed. Peers are owed an end within 3 s, and one
+/// that is merely idle may be closed after 2 s; while it is open it holds a place that another client may need.
+const HEAD_WITHIN: Duration = Duration::from_millis(2_200);
+/// How long after its head a body may take, whatever time the client says it has: both together stay below 3 s.
+const BODY_WITHIN: Duration = Duration::from_millis(700);
 /// What is read ahead of a connection: a body and its head.
 const READ_AHEAD: usize = 128 * 1024;
 /// How soon after a request has come in it is looked for again at the end.
@@ -232,7 +235,7 @@
     if body.size_hint().lower() > BODY_MOST as u64 {
         return Err(BadRequest::TooLong);
     }
-    let body = timeout_at(deadline, Limited::new(body, BODY_MOST).collect()).await;
+    let body = timeout_at(deadline.min(came + BODY_WITHIN), Limited::new(body, BODY_MOST).collect()).await;
     let body = body.map_err(|_| BadRequest::BodyLate)?.map_err(|error| {
         if error.is::<LengthLimitError>() { BadRequest::TooLong } else { BadRequest::BodyBroken }
     })?;
--- a/proxy/tests/clients.rs
+++ b/proxy/tests/clients.rs
@@ -64,6 +64,25 @@
     assert_eq!(proxy.client().ask(&good).status(), 200);
 }
 
+/// Guards against places held by peers that send nothing whole, however long they say they would wait.
+#[test]
+fn a_peer_without_a_whole_request_is_let_go() {
+    let host = host();
+    let (proxy, _roster) = Proxy::with_hosts(&[&host]);
+    let half = post("pay", 600_000, "", "abc").replace("abc", "a");
+    for (what, text) in [
+        ("nothing", ""),
+        ("half a head", "GET /look HTTP/1.1\r\nX-La"),
+        ("half a body", &half),
+        ("one request, then nothing", "GET /ready HTTP/1.1\r\nHost: p\r\n\r\n"),
+    ] {
+        let mut client = proxy.client();
+        client.write(text);
+        assert!(client.ends(), "still open: {what}");
+    }
+    assert_eq!(host.requests_so_far(), 0);
+}
+
 /// Guards against an answer held back: what the decisions have given up on goes out, with word of when to come back.
 #[test]
 fn a_refusal_says_when_to_come_back() {
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -353,6 +353,14 @@
         read_message(&mut self.reader)
     }
 
+    /// Reads all that still comes; whether the client proxy then closes.
+    pub fn ends(&mut self) -> bool {
+        match self.reader.read_to_end(&mut Vec::new()) {
+            Ok(_) => true,
+            Err(error) => error.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+
     pub fn ask(&mut self, text: &str) -> Message {
         self.write(text);
         self.read().expect("an answer")
