Follow discovery to its new address on SIGHUP instead of ending

The program had no handler, so the signal ended it: a crash. It now rereads the address, drops the call that waits at the old one and asks on at the new one from the version held. A file that is no good changes nothing.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -97,12 +97,31 @@
     /// # Errors
     /// Names the first variable or field at fault.
     pub fn from_env() -> Result<Config, ConfigError> {
-        let path = env::var("GW_CONFIG").map_err(|_| ConfigError::Unset("GW_CONFIG"))?;
-        let text = fs::read(&path).map_err(|source| ConfigError::Unreadable { path, source })?;
+        let text = Config::read_file()?;
         let var = |name| env::var(name).ok().filter(|value| !value.is_empty());
         Config::new(&text, var("GW_NAME"), var("GW_LISTEN"), var("GW_DISCOVERY"))
     }
 
+    /// Where discovery is by the file as it is now; that alone may change while the program runs. The variables
+    /// still say what they said at the start, so they do not count.
+    ///
+    /// # Errors
+    /// Names the field at fault.
+    pub fn reread_discovery() -> Result<SocketAddr, ConfigError> {
+        #[derive(Deserialize)]
+        struct Moved {
+            discovery: Option<String>,
+        }
+        let moved: Moved = serde_json::from_slice(&Config::read_file()?)
+            .map_err(|error| wrong("discovery", &error.to_string()))?;
+        address(None, moved.discovery, "discovery")
+    }
+
+    fn read_file() -> Result<Vec<u8>, ConfigError> {
+        let path = env::var("GW_CONFIG").map_err(|_| ConfigError::Unset("GW_CONFIG"))?;
+        fs::read(&path).map_err(|source| ConfigError::Unreadable { path, source })
+    }
+
     fn new(
         text: &[u8],
         name: Option<String>,
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -101,7 +101,8 @@
 
 /// Keeps the list of hosts as discovery tells it.
 pub struct Discovery {
-    address: SocketAddr,
+    /// Where it is; another address after each reload that names one.
+    address: watch::Receiver<SocketAddr>,
     mode: Mode,
     names: Names,
     hosts: Rc<Hosts>,
@@ -119,7 +120,7 @@
 impl Discovery {
     /// Nothing is asked before [`Discovery::run`].
     pub fn new(
-        address: SocketAddr,
+        address: watch::Receiver<SocketAddr>,
         mode: Mode,
         names: Names,
         seed: u64,
@@ -172,11 +173,15 @@
         }
         match self.mode {
             Mode::Automatic => self.follow().await,
-            Mode::Subscribe => {
-                while let Some(ask) = asks.recv().await {
-                    self.answer(ask).await;
-                }
-            }
+            Mode::Subscribe => loop {
+                let ask = tokio::select! {
+                    ask = asks.recv() => ask,
+                    // A move ends the pause that the decisions make after a failure: that was of the old address.
+                    Ok(()) = self.address.changed() => Some(Ask::Watch),
+                };
+                let Some(ask) = ask else { return };
+                self.answer(ask).await;
+            },
         }
     }
 
@@ -222,9 +227,17 @@
             }
         };
         let asked = Instant::now();
-        // Guards against a dead or silent link: whatever fails, the next call begins with a new one.
-        let link = self.link.take();
-        let (link, list) = timeout(most, call(link, self.address, &path)).await??;
+        let (link, list) = loop {
+            let moved = self.address.has_changed().unwrap_or(false);
+            let address = *self.address.borrow_and_update();
+            // Guards against a dead or silent link: whatever fails, the next call begins with a new one.
+            let link = self.link.take().filter(|_| !moved);
+            tokio::select! {
+                called = timeout(most, call(link, address, &path)) => break called??,
+                // Guards against waiting on where discovery no longer is: the same call is made at the new address.
+                Ok(()) = self.address.changed() => {}
+            }
+        };
         self.link = Some(link);
         if self.failing {
             self.failing = false;
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -54,6 +54,7 @@
     let Config { name, listen, discovery, seed, sockets, known, settings, names } = config;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let listener = clients::listen(listen)
         .map_err(|error| std::io::Error::new(error.kind(), format!("GW_LISTEN: {listen}: {error}")))?;
     let bound = listener.local_addr()?;
@@ -62,8 +63,9 @@
     let (wish, wishes) = mpsc::unbounded_channel();
     let driver = Driver::new(settings.clone(), seed, Rc::clone(&hosts), wish)
         .map_err(|error| std::io::Error::other(error.to_string()))?;
+    let moves = watch::Sender::new(discovery);
     let list = Discovery::new(
-        discovery,
+        moves.subscribe(),
         settings.discovery,
         names.clone(),
         seed,
@@ -77,10 +79,20 @@
     let closing = CancellationToken::new();
     let mut serving = spawn_local(clients::serve(listener, Rc::new(front), closing.clone()));
     eprintln!("martensill: {name} listens on {bound}");
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        ended = &mut serving => return ended.map_err(std::io::Error::other),
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => match Config::reread_discovery() {
+                Ok(address) => {
+                    eprintln!("martensill: {name} finds discovery at {address}");
+                    moves.send_replace(address);
+                }
+                // A file that is no good is no reason to stop, nor to leave an address that may still answer.
+                Err(error) => eprintln!("martensill: {name} keeps discovery where it was: {error}"),
+            },
+            ended = &mut serving => return ended.map_err(std::io::Error::other),
+        }
     }
     sleep(STILL_TAKING).await;
     closing.cancel();
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
@@ -278,12 +279,18 @@
     }
 }
 
-/// Starts the program as the platform does, without waiting for anything.
-pub fn spawn(config: &Value) -> Child {
+/// Writes the configuration file of this test, in place of an earlier one.
+pub fn write_config(text: &str) -> PathBuf {
     let dir = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
     let unique = format!("{}-{:?}.json", std::process::id(), std::thread::current().id());
     let path = dir.join(unique);
-    std::fs::write(&path, config.to_string()).expect("a file of the test's own");
+    std::fs::write(&path, text).expect("a file of the test's own");
+    path
+}
+
+/// Starts the program as the platform does, without waiting for anything.
+pub fn spawn(config: &Value) -> Child {
+    let path = write_config(&config.to_string());
     Command::new(env!("CARGO_BIN_EXE_martensill"))
         .env("GW_CONFIG", &path)
         .env_remove("GW_NAME")
@@ -326,7 +333,11 @@
     }
 
     pub fn terminate(&self) {
-        let killed = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("-TERM");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let killed = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(killed.expect("kill runs").success());
     }
 }
--- a/proxy/tests/discovery.rs
+++ b/proxy/tests/discovery.rs
@@ -164,3 +164,35 @@
     roster.wait_until_known();
     only(&mut proxy.client(), "here");
 }
+
+/// Guards against a program that a reload ends, or that goes on waiting where discovery no longer is; a file that
+/// is no good changes nothing.
+#[test]
+fn a_reload_moves_on_to_the_new_discovery() {
+    for mode in ["automatic", "subscribe"] {
+        let (old, new) = (host("old"), host("new"));
+        let before = Roster::start(json!([endpoint("h0", old.address, "SERVING")]));
+        let mut settings = settings();
+        settings["discovery"] = json!(mode);
+        let mut config = config(before.address, settings);
+        config["known"] = json!({"index": 0, "snapshot": true, "endpoints": []});
+        let proxy = Proxy::start(&config);
+        before.wait_until_known();
+        let mut client = proxy.client();
+        only(&mut client, "old");
+
+        write_config("{ no good");
+        proxy.signal("-HUP");
+        only(&mut client, "old");
+
+        let after = Roster::start(json!([]));
+        after.tell(json!([endpoint("h0", new.address, "SERVING")]), true);
+        config["discovery"] = json!(after.address.to_string());
+        write_config(&config.to_string());
+        proxy.signal("-HUP");
+        // Asked on from the version held, so nothing told in between is missed.
+        assert!(after.call().contains("after=1&"));
+        after.wait_until_known();
+        only(&mut client, "new");
+    }
+}
