Pass on only requests in the form that clients send, and close after a bad one

What followed a bad request on its connection was read as a request of its own, and methods, paths and doubled headers that no client sends went on to order servers.

--- a/proxy/src/clients.rs
+++ b/proxy/src/clients.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use marblebay::{Effect, Settings};
 use thiserror::Error;
@@ -55,7 +55,7 @@
 /// Why a request is not taken in.
 #[derive(Debug, Error)]
 enum BadRequest {
-    #[error("{0} is missing")]
+    #[error("{0} is missing, or there more than once")]
     Missing(&'static str),
     #[error("X-Lane names no class")]
     Class,
@@ -63,8 +63,12 @@
     Tenant,
     #[error("X-Remaining-Ms is not a time that a client waits")]
     Remaining,
-    #[error("the method does not fit the class")]
+    #[error("the method or the key does not fit the class")]
     Method,
+    #[error("the path does not begin with the class")]
+    Path,
+    #[error("the request is not HTTP/1.1")]
+    Version,
     #[error("the body is longer than 64 KiB")]
     TooLong,
     #[error("the body did not come whole in time")]
@@ -79,6 +83,7 @@
             BadRequest::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             BadRequest::BodyLate => StatusCode::REQUEST_TIMEOUT,
             BadRequest::Method => StatusCode::METHOD_NOT_ALLOWED,
+            BadRequest::Version => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             _ => StatusCode::BAD_REQUEST,
         }
     }
@@ -190,6 +195,8 @@
         Err(bad) => {
             let mut response = plain(bad.status());
             *response.body_mut() = format!("{bad}\n").into();
+            // Guards against what follows being read as a request of its own, which no client meant as one.
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             response
         }
     }
@@ -229,7 +236,10 @@
     came: Instant,
 ) -> Result<(Facts, Order, Instant), BadRequest> {
     let (head, body) = request.into_parts();
-    let facts = read_facts(&head.method, &head.headers, front)?;
+    if head.version != Version::HTTP_11 {
+        return Err(BadRequest::Version);
+    }
+    let facts = read_facts(&head.method, head.uri.path(), &head.headers, front)?;
     let deadline = came + read_remaining(&head.headers)?;
     // Guards against a body that says at once that it is too long.
     if body.size_hint().lower() > BODY_MOST as u64 {
@@ -252,24 +262,38 @@
 
 fn read_remaining(headers: &HeaderMap) -> Result<Duration, BadRequest> {
     let text = text(headers, &REMAINING_MS).ok_or(BadRequest::Missing("X-Remaining-Ms"))?;
-    let ms: u64 = text.parse().map_err(|_| BadRequest::Remaining)?;
+    // Guards against a sign, which the parser would take.
+    let digits = Some(text).filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()));
+    let ms: u64 = digits.and_then(|digits| digits.parse().ok()).ok_or(BadRequest::Remaining)?;
     if ms == 0 || ms > REMAINING_MOST { Err(BadRequest::Remaining) } else { Ok(Duration::from_millis(ms)) }
 }
 
+/// What a header says that stands there once; nothing where two of them may say different things.
 fn text<'h>(headers: &'h HeaderMap, name: &HeaderName) -> Option<&'h str> {
-    headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim)
+    let mut values = headers.get_all(name).iter();
+    let only = values.next().filter(|_| values.next().is_none());
+    only.and_then(|value| value.to_str().ok()).map(str::trim)
 }
 
-fn read_facts(method: &Method, headers: &HeaderMap, front: &Front) -> Result<Facts, BadRequest> {
+/// Checks that a request has the form that clients send, and no other: an order server that is sent anything else
+/// has been sent what no client asked for.
+fn read_facts(method: &Method, path: &str, headers: &HeaderMap, front: &Front) -> Result<Facts, BadRequest> {
+    text(headers, &HOST).ok_or(BadRequest::Missing("Host"))?;
     text(headers, &X_TXN).filter(|id| !id.is_empty()).ok_or(BadRequest::Missing("X-Txn"))?;
     let lane = text(headers, &X_LANE).ok_or(BadRequest::Missing("X-Lane"))?;
     let class = front.names.classes.iter().position(|name| name == lane).ok_or(BadRequest::Class)?;
+    if path.split('/').nth(1) != Some(lane) {
+        return Err(BadRequest::Path);
+    }
     let keyed = headers.contains_key(&IDEMPOTENCY_KEY);
     // Guards against a repeat of what its client does not hold safe to repeat.
     let fits = match front.settings.classes[class].effect {
-        Effect::Safe => true,
-        Effect::Keyed { .. } => *method != Method::GET && keyed,
-        Effect::Unsafe => *method != Method::GET,
+        Effect::Safe => *method == Method::GET,
+        Effect::Keyed { .. } => {
+            let key = text(headers, &IDEMPOTENCY_KEY).filter(|key| !key.is_empty());
+            *method == Method::POST && key.is_some()
+        }
+        Effect::Unsafe => *method == Method::POST && !keyed,
     };
     if !fits {
         return Err(if keyed { BadRequest::Method } else { BadRequest::Missing("Idempotency-Key") });
--- a/proxy/tests/clients.rs
+++ b/proxy/tests/clients.rs
@@ -5,6 +5,8 @@
 use common::*;
 use serde_json::json;
 
+const KEY: &str = "Idempotency-Key: 5c0f\r\n";
+
 fn host() -> Host {
     Host::start(|_| Act::Say(answer("200 OK", "", "fine")))
 }
@@ -42,6 +44,16 @@
         ("time is days", good.replace("Ms: 3000", "Ms: 400000000"), 400),
         ("keyed without a key", post("keep", 3000, "", ""), 400),
         ("unsafe as GET", good.replace("X-Lane: look", "X-Lane: pay"), 400),
+        ("keyed by another method", post("keep", 3000, KEY, "").replacen("POST", "PUT", 1), 405),
+        ("unsafe by another method", post("pay", 3000, "", "").replacen("POST", "DELETE", 1), 400),
+        ("unsafe with a key", post("pay", 3000, KEY, ""), 405),
+        ("two keys", post("keep", 3000, &format!("{KEY}{KEY}"), ""), 405),
+        ("two ids", good.replace("X-Txn: t1\r\n", "X-Txn: t1\r\nX-Txn: t9\r\n"), 400),
+        ("two classes", good.replace("X-Lane: look\r\n", "X-Lane: look\r\nX-Lane: pay\r\n"), 400),
+        ("path of another class", good.replace("GET /look", "GET /pay"), 400),
+        ("time with a sign", good.replace("Ms: 3000", "Ms: +3000"), 400),
+        ("no host", good.replace("Host: origin.svc\r\n", ""), 400),
+        ("older HTTP", good.replace("HTTP/1.1", "HTTP/1.0"), 505),
         ("too long", post("pay", 3000, "", &long), 413),
         (
             "too long in chunks",
@@ -58,12 +70,32 @@
         let mut client = proxy.client();
         assert_eq!(client.ask(&text).status(), status, "{what}");
         assert_eq!(proxy.client().ask(&good).status(), 200, "after: {what}");
+        assert_eq!(host.request().1.start, "GET /look/7?q=1 HTTP/1.1", "passed on: {what}");
+        assert_eq!(host.requests_so_far(), 0, "passed on: {what}");
     }
     // Half a request, then nothing: that client is on its own.
     proxy.client().write("GET /look HTTP/1.1\r\nX-La");
     assert_eq!(proxy.client().ask(&good).status(), 200);
 }
 
+/// Guards against the rest of a bad request read as a good one that no client sent.
+#[test]
+fn what_follows_a_bad_request_is_not_passed_on() {
+    let host = host();
+    let (proxy, _roster) = Proxy::with_hosts(&[&host]);
+    for status in [400, 413] {
+        let bad = match status {
+            400 => look(3000).replace("X-Lane: look\r\n", ""),
+            _ => post("pay", 3000, "", "").replace("Content-Length: 0", "Content-Length: 70000"),
+        };
+        let mut client = proxy.client();
+        client.write(&(bad + &look(3000)));
+        assert_eq!(client.read().expect("an answer").status(), status);
+        assert!(client.ends(), "{status}");
+    }
+    assert_eq!(host.requests_so_far(), 0);
+}
+
 /// Guards against places held by peers that send nothing whole, however long they say they would wait.
 #[test]
 fn a_peer_without_a_whole_request_is_let_go() {
