Judge lost answers by host and class, apart from load and slowness

Evidence was kept by host alone, so the answers of the good class hid the loss, the time-outs passed for strain, and a third of all work was refused for a load that was not there.

An attempt still out while its host has answered a later one now counts as lost, for that host and class: neither as slowness nor as strain nor as open work. Sampling and cost keep the class away from where it is lost.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -57,6 +57,8 @@
 const REST_FROM: f64 = 2.2;
 const REST_FOR: Millis = 5_000.0;
 const REST_AT_MOST: f64 = 0.3;
+/// Whether a host loses the answers of a class is read from so many attempts of it: they are proof, not noise.
+const LOST_ATTEMPTS: f64 = 8.0;
 /// Answers that a host on probation must serve.
 const PROBATION_ANSWERS: u32 = 3;
 /// Retry budget: what each first attempt adds, and the most that can be saved up.
@@ -262,7 +264,9 @@
             self.settings.prices.cross_zone * self.load.mean_worth / class.worth.max(f64::MIN_POSITIVE);
         let crossing = if host.entry.zone == self.settings.zone { 0.0 } else { price };
         let usual = part * self.usual(request.class, request.size) / class.aim;
-        ((f64::from(host.inflight) + 1.0) * usual / self.speeds[host.group]).powi(LATE_POWER) + crossing
+        let late = ((f64::from(host.inflight) + 1.0) * usual / self.speeds[host.group]).powi(LATE_POWER);
+        // Guards against a host that answers, but not this class: no answer costs as much as a late one.
+        late + host.loses[request.class] + crossing
     }
 
     /// The chance that a host can be reached: an open connection can, a new one as lately seen.
@@ -287,7 +291,8 @@
     fn shortest_of_sample(&mut self, g: usize, request: &Request) -> Option<usize> {
         let fit = |h: usize| !request.attempts.iter().any(|a| a.host == h) && self.may_send(request, h);
         // Guards against slow or refused handshakes: connections that are open already go on serving.
-        let weight = |h: usize| if fit(h) { self.hosts[h].readiness * self.reach(h).powi(2) } else { 0.0 };
+        let able = |host: &Host| host.readiness * (1.0 - host.loses[request.class]).powi(4).max(TRICKLE);
+        let weight = |h: usize| if fit(h) { able(&self.hosts[h]) * self.reach(h).powi(2) } else { 0.0 };
         let ready: Vec<(usize, f64)> = self.groups[g].iter().map(|&h| (h, weight(h))).collect();
         let total: f64 = ready.iter().map(|(_, w)| w).sum();
         if total <= 0.0 {
@@ -578,7 +583,8 @@
         let ease = 1.0 + (1.0 - self.load.strained / OPEN_EASE).max(0.0);
         let limit = OPEN_MULTIPLE * ease * self.load.open_calm * self.load.ready_hosts
             + (OPEN_SPARE + part) * self.typical(class);
-        let full = (self.load.open_work / limit - OPEN_SHED_FROM) / (1.0 - OPEN_SHED_FROM);
+        let full =
+            ((self.load.open_work - self.load.open_lost) / limit - OPEN_SHED_FROM) / (1.0 - OPEN_SHED_FROM);
         let shed = self.load.shed.max(full.min(1.0));
         if shed <= 0.0 {
             return false;
@@ -611,7 +617,7 @@
         for (request, attempt) in self.hanging() {
             let class = &self.settings.classes[request.class];
             let part = (self.now - attempt.sent) / class.aim;
-            if part > STRAIN_TARGET {
+            if part > STRAIN_TARGET && !self.hosts[attempt.host].passed_over(attempt.sent) {
                 let weight = class.worth * self.hosts[attempt.host].readiness;
                 strain.weigh(part.min(1.0), weight * self.load.silence);
             }
@@ -690,12 +696,23 @@
     fn judge_hosts(&mut self) {
         // Attempts that hang are news too: their age is the least that their latency will be.
         let mut hanging = vec![Mean::default(); self.hosts.len()];
+        let mut lost: Vec<Vec<Mean>> = self.hosts.iter().map(|host| host.lost.clone()).collect();
+        let mut open_lost = 0.0;
         for (request, attempt) in self.hanging() {
             let age = (self.now - attempt.sent) / self.usual(request.class, request.size);
-            if age > SLOW_FROM {
-                hanging[attempt.host].add(age.min(CLIP));
+            if !self.hosts[attempt.host].passed_over(attempt.sent) {
+                if age > SLOW_FROM {
+                    hanging[attempt.host].add(age.min(CLIP));
+                }
+            } else if age > CLIP {
+                lost[attempt.host][request.class].add(1.0);
+                open_lost += attempt.work;
             }
         }
+        self.load.open_lost = open_lost;
+        for (host, lost) in self.hosts.iter_mut().zip(lost) {
+            host.loses = lost.iter().map(|lost| lost.shrunk(0.0, 1.0)).collect();
+        }
         // A cold host counts for the part of it that is warm, lest new hosts raise the limit at once.
         let ready = self.hosts.iter().filter(|h| h.entry.phase == Phase::Up && h.probation == 0);
         self.load.ready_hosts = ready.map(|host| self.warmth(host)).sum();
@@ -795,7 +812,9 @@
         let usual = self.usual(class, size);
         let relative = (latency / usual).clamp(0.0, CLIP);
         let Class { aim, worth, .. } = self.settings.classes[class];
-        if matches!(outcome, Outcome::Served | Outcome::TimedOut | Outcome::Rejected) {
+        // Guards against a host that goes on answering, but not this class: that is neither load nor slowness.
+        let lost = outcome == Outcome::TimedOut && self.hosts[h].passed_over(self.now - latency);
+        if matches!(outcome, Outcome::Served | Outcome::TimedOut | Outcome::Rejected) && !lost {
             let part = if outcome == Outcome::Rejected { 1.0 } else { (latency / aim).min(1.0) };
             // A host slow against its peers says little of the fleet: that is for readiness to answer.
             let heard = if outcome == Outcome::TimedOut { self.load.silence } else { 1.0 };
@@ -814,6 +833,8 @@
                 stats.usual.add(latency / size);
                 let host = &mut self.hosts[h];
                 host.slow.add(relative);
+                host.tell_lost(class, false, LOST_ATTEMPTS);
+                host.heard = host.heard.max(self.now - latency);
                 host.failures.add(0.0);
                 host.in_a_row = 0;
                 if host.probation > 0 {
@@ -831,6 +852,7 @@
                 self.hosts[h].in_a_row += 1;
                 self.consider_ejection(h);
             }
+            Outcome::TimedOut if lost => self.hosts[h].tell_lost(class, true, LOST_ATTEMPTS),
             Outcome::TimedOut => self.hosts[h].slow.add(relative.max(1.0)),
             Outcome::Rejected => self.hosts[h].slow.add(CLIP),
             Outcome::Cancelled | Outcome::NeverSent => {}
@@ -872,7 +894,8 @@
         entry.kind = entry.kind.min(self.settings.kinds);
         entry.zone = entry.zone.min(self.settings.zones - 1);
         let pull = rendezvous(self.salt, u64::from(entry.host.0));
-        let fresh = Host::new(entry.kind * self.settings.zones + entry.zone, pull, entry);
+        let group = entry.kind * self.settings.zones + entry.zone;
+        let fresh = Host::new(group, pull, self.classes.len(), entry);
         let Some(&h) = self.index.get(&fresh.entry.host) else {
             self.index.insert(fresh.entry.host, self.hosts.len());
             self.hosts.push(fresh);
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,6 +14,12 @@
     pub(crate) slow: Mean,
     /// 1 for each failure, 0 for each answer.
     pub(crate) failures: Mean,
+    /// By class: 1 for each answer that did not come while later ones did, 0 for each answer.
+    pub(crate) lost: Vec<Mean>,
+    /// By class: the part of its answers that is taken to be lost at present, 0 to 1.
+    pub(crate) loses: Vec<f64>,
+    /// When the latest of the attempts that were answered had been sent.
+    pub(crate) heard: Millis,
     /// Failures since the last answer.
     pub(crate) in_a_row: u32,
     pub(crate) ejected_until: Millis,
@@ -37,13 +43,16 @@
 
 impl Host {
     /// A host of which nothing is known yet.
-    pub(crate) fn new(group: usize, pull: f64, entry: HostEntry) -> Host {
+    pub(crate) fn new(group: usize, pull: f64, classes: usize, entry: HostEntry) -> Host {
         Host {
             pull,
             group,
             inflight: 0,
             slow: Mean::default(),
             failures: Mean::default(),
+            lost: vec![Mean::default(); classes],
+            loses: vec![0.0; classes],
+            heard: f64::NEG_INFINITY,
             in_a_row: 0,
             ejected_until: 0.0,
             ejections: 0,
@@ -63,6 +72,7 @@
         self.dials.fade(evidence);
         self.slow.fade(evidence);
         self.failures.fade(evidence);
+        self.lost.iter_mut().for_each(|lost| lost.fade(evidence));
         self.sent *= rate;
     }
 
@@ -74,6 +84,18 @@
         self.readiness = 0.0;
     }
 
+    /// Whether it has answered what was sent after `sent`: what is still out since then is not waiting its turn.
+    pub(crate) fn passed_over(&self, sent: Millis) -> bool {
+        self.heard > sent
+    }
+
+    /// Takes in whether the answer to an attempt was lost, and forgets all but about `most` attempts of the class.
+    pub(crate) fn tell_lost(&mut self, class: usize, lost: bool, most: f64) {
+        let mean = &mut self.lost[class];
+        mean.add(f64::from(u8::from(lost)));
+        mean.fade((most / mean.n).min(1.0));
+    }
+
     /// One more attempt goes there; true if it has to open a connection.
     pub(crate) fn takes_on(&mut self, streams: u32) -> bool {
         let dials = !self.has_room(streams);
@@ -206,6 +228,8 @@
     /// Usual time of all attempts that are out now, and what that was while nothing was strained.
     pub(crate) open_work: f64,
     pub(crate) open_calm: f64,
+    /// The part of it whose answers are taken to be lost: no work that is still to be done.
+    pub(crate) open_lost: f64,
     pub(crate) strained: f64,
     pub(crate) ready_hosts: f64,
     /// Time since the first event; what is taken to be calm at the start weighs as much as OPEN_UP.
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -712,3 +712,41 @@
     }
     assert!(play(&mut rig, true) > 300, "back in full");
 }
+
+/// Guards against a host that goes on answering, but not one of the classes: that class leaves it, the others
+/// stay, and nothing is refused as if the hosts had too much to do.
+#[test]
+fn a_class_leaves_the_hosts_that_lose_its_answers_and_the_others_stay() {
+    let mut s = settings();
+    s.classes.push(class(Effect::Unsafe));
+    s.limits.second_copies = false;
+    let mut rig = Rig::new(s, hosts(6));
+    let loses = |host: HostId| host.0 <= 3;
+    let mut open: Vec<(f64, RequestId, Outcome)> = Vec::new();
+    // Sent to the hosts that lose the second class, and in all; by class, over the second half.
+    let (mut there, mut all) = ([0.0; 2], [0.0; 2]);
+    for step in 0..800 {
+        for class in 0..2 {
+            let id = rig.request(class);
+            let Some(sent) = rig.requests[&id].sent.first() else { continue };
+            let lost = step >= 100 && class == 1 && loses(sent.host);
+            let (after, outcome) = if lost { (399.0, Outcome::TimedOut) } else { (20.0, Outcome::Served) };
+            open.push((rig.now + after, id, outcome));
+            if step >= 400 {
+                there[class] += f64::from(u8::from(loses(sent.host)));
+                all[class] += 1.0;
+            }
+        }
+        rig.pass(5.0);
+        let (due, rest) = open.into_iter().partition(|o| o.0 <= rig.now);
+        open = rest;
+        for (_, id, outcome) in Vec::<(f64, RequestId, Outcome)>::from(due) {
+            if rig.open(id).contains(&0) {
+                rig.finish(id, 0, outcome);
+            }
+        }
+    }
+    assert!(there[1] / all[1] < 0.05, "{there:?} of {all:?}");
+    assert!(there[0] / all[0] > 0.4, "{there:?} of {all:?}");
+    assert_eq!(rig.refusals(), 0);
+}
