--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -738,9 +738,9 @@
             }
         }
         rig.pass(5.0);
-        let (due, rest) = open.into_iter().partition(|o| o.0 <= rig.now);
+        let (due, rest): (Vec<_>, Vec<_>) = open.into_iter().partition(|o| o.0 <= rig.now);
         open = rest;
-        for (_, id, outcome) in Vec::<(f64, RequestId, Outcome)>::from(due) {
+        for (_, id, outcome) in due {
             if rig.open(id).contains(&0) {
                 rig.finish(id, 0, outcome);
             }
