--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -70,7 +70,8 @@
     }
 
     fn instant(&self, at: Millis) -> Instant {
-        self.base + millis(at - self.base_ms)
+        // From now, not from the start: `millis` cuts what is longer than a day.
+        Instant::now() + millis(at - self.now())
     }
 }
 
@@ -351,6 +352,18 @@
         LocalSet::new().block_on(&runtime.expect("a runtime"), test);
     }
 
+    /// Guards against timers that are all due at once when the program has run for more than a day.
+    #[test]
+    fn a_timer_is_ahead_however_long_the_program_has_run() {
+        run(async {
+            let clock = Clock::new();
+            tokio::time::advance(Duration::from_secs(36 * 3600)).await;
+            let at = clock.instant(clock.now() + 100.0);
+            let ahead = at.saturating_duration_since(Instant::now());
+            assert!(ahead > Duration::from_millis(99) && ahead < Duration::from_millis(101), "{ahead:?}");
+        });
+    }
+
     /// Guards against memory that grows with every request: whatever the ending, nothing is kept.
     #[test]
     fn every_ending_empties_the_map() {
