Spare a class the shedding for another one that lacks hosts

Strain is now kept by class. Where hosts lose more of another class's answers, a class that is answered well, or no longer heard, is not shed for it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -79,6 +79,10 @@
 const STRAIN_TARGET: f64 = 0.35;
 const SHED_AT_ONCE: f64 = 2.0;
 const SHED_GROWTH: f64 = 1.0;
+/// Where hosts lose this part more of another class's answers, a class with less than that part of the strain held
+/// is not shed for it: it has hosts that the other one lacks.
+const LACKS_MORE: f64 = 0.1;
+const CALM_PART: f64 = 0.6;
 /// Strain that is assumed, with the weight of two answers of mean worth.
 const STRAIN_PRIOR: f64 = 0.1;
 /// Classes and tenants whose worth per work differs by less than this factor are shed alike.
@@ -185,7 +189,7 @@
             tenant_rate: vec![0.0; tenants],
             warm_rates: vec![0.0; settings.kinds + 1],
             // Before anything is known: some requests on each host, from all balancers together.
-            load: Load::new(OPEN_START * usual, OPEN_UP, STRAIN_TARGET),
+            load: Load::new(settings.classes.len(), OPEN_START * usual, OPEN_UP, STRAIN_TARGET),
             retry_budget: RETRY_SAVED,
             watching: false,
             ask_pause: ASK_AGAIN,
@@ -585,7 +589,9 @@
             + (OPEN_SPARE + part) * self.typical(class);
         let full =
             ((self.load.open_work - self.load.open_lost) / limit - OPEN_SHED_FROM) / (1.0 - OPEN_SHED_FROM);
-        let shed = self.load.shed.max(full.min(1.0));
+        // Guards against a class shed in vain, for the strain of one that its absence gives no hosts.
+        let strained = if self.load.calm[class] { 0.0 } else { self.load.shed };
+        let shed = strained.max(full.min(1.0));
         if shed <= 0.0 {
             return false;
         }
@@ -613,18 +619,25 @@
     fn judge_load(&mut self, passed: Millis) {
         // Guards against shedding for lost answers: silence counts in full only where it may be slowness.
         self.load.silence = (self.still_comes() / GIVE_UP_BELOW).clamp(SILENCE_LEAST, 1.0);
-        let mut strain = self.load.strain;
+        let mut strains = self.load.strains.clone();
         for (request, attempt) in self.hanging() {
             let class = &self.settings.classes[request.class];
             let part = (self.now - attempt.sent) / class.aim;
             if part > STRAIN_TARGET && !self.hosts[attempt.host].passed_over(attempt.sent) {
                 let weight = class.worth * self.hosts[attempt.host].readiness;
-                strain.weigh(part.min(1.0), weight * self.load.silence);
+                strains[request.class].weigh(part.min(1.0), weight * self.load.silence);
             }
         }
         // Guards against a balancer that sheds nearly all for good: old strain must pass without new answers.
-        let over =
-            strain.shrunk(STRAIN_PRIOR, 2.0 * self.load.mean_worth.max(f64::MIN_POSITIVE)) - STRAIN_TARGET;
+        let strength = 2.0 * self.load.mean_worth.max(f64::MIN_POSITIVE);
+        let lacks = |class: usize| self.hosts.iter().map(|host| host.loses[class]).sum::<f64>();
+        let most = (0..strains.len()).map(lacks).fold(0.0, f64::max) - LACKS_MORE * self.load.ready_hosts;
+        let calm = |(class, strain): (usize, &Mean)| {
+            lacks(class) < most && strain.shrunk(STRAIN_PRIOR, strength) < CALM_PART * STRAIN_TARGET
+        };
+        self.load.calm = strains.iter().enumerate().map(calm).collect();
+        let strain = strains.into_iter().fold(Mean::default(), Mean::joined);
+        let over = strain.shrunk(STRAIN_PRIOR, strength) - STRAIN_TARGET;
         let eased = self.load.strained * (-passed / RATE_MEMORY).exp();
         self.load.strained = eased.max(over + STRAIN_TARGET);
         self.load.shed_held = (self.load.shed_held + SHED_GROWTH * over * passed / 1000.0).clamp(0.0, 0.95);
@@ -663,7 +676,8 @@
         // Guards against small balancers that see no strain: their memory holds as many answers as it needs.
         self.load.answers *= keep(RATE_MEMORY);
         let gap = RATE_MEMORY / self.load.answers.max(1.0);
-        self.load.strain.fade(keep((STRAIN_ANSWERS * gap).clamp(STRAIN_MEMORY, STRAIN_MEMORY_MOST)));
+        let strain_keep = keep((STRAIN_ANSWERS * gap).clamp(STRAIN_MEMORY, STRAIN_MEMORY_MOST));
+        self.load.strains.iter_mut().for_each(|strain| strain.fade(strain_keep));
         self.judge_load(passed);
         self.judge_kinds();
         let mut worth = Mean::default();
@@ -704,7 +718,7 @@
                 if age > SLOW_FROM {
                     hanging[attempt.host].add(age.min(CLIP));
                 }
-            } else if age > CLIP {
+            } else if age * self.kind_speeds[self.hosts[attempt.host].entry.kind] > CLIP {
                 lost[attempt.host][request.class].add(1.0);
                 open_lost += attempt.work;
             }
@@ -820,7 +834,7 @@
             let heard = if outcome == Outcome::TimedOut { self.load.silence } else { 1.0 };
             let weight = worth * self.hosts[h].readiness * heard;
             self.load.answers += 1.0;
-            self.load.strain.weigh(part, weight);
+            self.load.strains[class].weigh(part, weight);
         }
         let answered = outcome == Outcome::Served;
         if latency > HEDGE_AT * usual && (answered || time_up && outcome == Outcome::TimedOut) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -211,7 +211,10 @@
 
 #[derive(Default)]
 pub(crate) struct Load {
-    pub(crate) strain: Mean,
+    /// By class.
+    pub(crate) strains: Vec<Mean>,
+    /// By class: it is answered well where another one lacks hosts.
+    pub(crate) calm: Vec<bool>,
     /// What an attempt without an answer counts for in it.
     pub(crate) silence: f64,
     /// 1 for each attempt that was out for long and was answered, 0 for each that was not.
@@ -237,8 +240,9 @@
 }
 
 impl Load {
-    pub(crate) fn new(open_calm: f64, age: Millis, strained: f64) -> Load {
-        Load { open_calm, age, strained, silence: 1.0, ..Load::default() }
+    pub(crate) fn new(classes: usize, open_calm: f64, age: Millis, strained: f64) -> Load {
+        let (strains, calm) = (vec![Mean::default(); classes], vec![false; classes]);
+        Load { strains, calm, open_calm, age, strained, silence: 1.0, ..Load::default() }
     }
 }
 
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -750,3 +750,44 @@
     assert!(there[0] / all[0] > 0.4, "{there:?} of {all:?}");
     assert_eq!(rig.refusals(), 0);
 }
+
+/// Guards against a class shed in vain: most hosts lose the other class's answers, so that one crowds the few that
+/// do not, and refusing what the others would have answered helps nobody.
+#[test]
+fn a_class_is_not_shed_for_the_strain_of_one_that_lacks_hosts() {
+    let mut s = settings();
+    s.classes.push(Class { worth: 4.0, ..class(Effect::Unsafe) });
+    s.limits.second_copies = false;
+    let mut rig = Rig::new(s, hosts(6));
+    let mut open: Vec<(f64, RequestId, Outcome)> = Vec::new();
+    let (mut sent, mut all) = (0.0, 0.0);
+    for step in 0..1200 {
+        // The class that lacks hosts comes half as often: it strains them without piling up.
+        for class in 0..2 - step % 2 {
+            let id = rig.request(class);
+            let first = rig.requests[&id].sent.first();
+            if class == 0 && step >= 400 {
+                sent += f64::from(u8::from(first.is_some()));
+                all += 1.0;
+            }
+            let Some(first) = first else { continue };
+            let (after, outcome) = match (class, first.host.0) {
+                _ if step < 100 => (20.0, Outcome::Served),
+                (1, ..=4) => (399.0, Outcome::TimedOut),
+                (1, _) => (190.0, Outcome::Served),
+                _ => (20.0, Outcome::Served),
+            };
+            open.push((rig.now + after, id, outcome));
+        }
+        rig.pass(5.0);
+        let (due, rest): (Vec<_>, Vec<_>) = open.into_iter().partition(|o| o.0 <= rig.now);
+        open = rest;
+        for (_, id, outcome) in due {
+            if rig.open(id).contains(&0) {
+                rig.finish(id, 0, outcome);
+            }
+        }
+    }
+    // The limit on open work still sheds some; the strain alone had shed nearly all.
+    assert!(sent / all > 0.6, "{sent} of {all}");
+}
