--- a/src/logic.rs
+++ b/src/logic.rs
@@ -57,7 +57,7 @@
 const REST_FROM: f64 = 2.2;
 const REST_FOR: Millis = 5_000.0;
 const REST_AT_MOST: f64 = 0.3;
-/// Whether a host loses the answers of a class is read from so many attempts of it: they are proof, not noise.
+/// Whether a host loses a class's answers is read from so many attempts of it: they are proof, not noise.
 const LOST_ATTEMPTS: f64 = 8.0;
 /// Answers that a host on probation must serve.
 const PROBATION_ANSWERS: u32 = 3;
@@ -79,8 +79,8 @@
 const STRAIN_TARGET: f64 = 0.35;
 const SHED_AT_ONCE: f64 = 2.0;
 const SHED_GROWTH: f64 = 1.0;
-/// Where hosts lose this part more of another class's answers, a class with less than that part of the strain held
-/// is not shed for it: it has hosts that the other one lacks.
+/// Where hosts lose this part more of another class's answers, a class with less than that part of the strain
+/// held is not shed for it: it has hosts that the other one lacks.
 const LACKS_MORE: f64 = 0.1;
 const CALM_PART: f64 = 0.6;
 /// Strain that is assumed, with the weight of two answers of mean worth.
@@ -826,7 +826,7 @@
         let usual = self.usual(class, size);
         let relative = (latency / usual).clamp(0.0, CLIP);
         let Class { aim, worth, .. } = self.settings.classes[class];
-        // Guards against a host that goes on answering, but not this class: that is neither load nor slowness.
+        // Guards against a host that answers, but not this class: that is neither load nor slowness.
         let lost = outcome == Outcome::TimedOut && self.hosts[h].passed_over(self.now - latency);
         if matches!(outcome, Outcome::Served | Outcome::TimedOut | Outcome::Rejected) && !lost {
             let part = if outcome == Outcome::Rejected { 1.0 } else { (latency / aim).min(1.0) };
