Close connections whose clients read none of their answers

Once the way back is full, the connection waits to write and reads nothing more, so neither the limit on heads nor the one on bodies applies: it stayed open for good, with its place in the budget of sockets.

--- a/proxy/src/clients.rs
+++ b/proxy/src/clients.rs
@@ -37,6 +37,8 @@
 const HEAD_WITHIN: Duration = Duration::from_millis(2_200);
 /// How long after its head a body may take, whatever time the client says it has: both together stay below 3 s.
 const BODY_WITHIN: Duration = Duration::from_millis(700);
+/// A client that takes nothing of its answer for so long is let go: no answer is of use to it any more.
+const READ_BACK_WITHIN: Duration = Duration::from_millis(2_500);
 /// What is read ahead of a connection: a body and its head.
 const READ_AHEAD: usize = 128 * 1024;
 /// How soon after a request has come in it is looked for again at the end.
@@ -160,10 +162,12 @@
     let mut builder = Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN).max_buf_size(READ_AHEAD);
     let mut served = pin!(builder.serve_connection(TokioIo::new(Io(Rc::clone(&stream))), service));
-    // A client that breaks off, or whose words are no HTTP (answered 400), ends its connection and no more.
+    // A client that breaks off, or whose words are no HTTP (answered 400), ends its connection and no more; so does
+    // one that leaves its answers unread.
     tokio::select! {
         biased;
         _ = served.as_mut() => return,
+        _ = stream.stuck_for(READ_BACK_WITHIN) => return,
         _ = closing.cancelled() => {}
     }
     // Guards against closing over a request that has come in but was not read yet: an idle connection is closed
--- a/proxy/src/sockets.rs
+++ b/proxy/src/sockets.rs
@@ -7,11 +7,13 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::{Instant, sleep};
 
 /// Descriptors for standard streams, the listener, the runtime, signals and discovery.
 const OWN: usize = 24;
@@ -80,6 +82,8 @@
     stream: TcpStream,
     written: Cell<u64>,
     unfinished: Cell<bool>,
+    /// Since when the other side has taken none of what waits to be written.
+    stuck: Cell<Option<Instant>>,
     _slot: Slot,
 }
 
@@ -88,7 +92,8 @@
     pub fn new(stream: TcpStream, slot: Slot) -> Rc<Watched> {
         // Fails only where the connection is broken already, which the first use shows.
         let _ = stream.set_nodelay(true);
-        Rc::new(Watched { stream, written: Cell::new(0), unfinished: Cell::new(false), _slot: slot })
+        let (written, unfinished, stuck) = Default::default();
+        Rc::new(Watched { stream, written, unfinished, stuck, _slot: slot })
     }
 
     /// Forgets what was written so far: a new request begins.
@@ -102,6 +107,18 @@
         self.written.get() == 0 || self.unfinished.get()
     }
 
+    /// Waits until the other side has taken nothing for `long` of what is to be written to it.
+    pub async fn stuck_for(&self, long: Duration) {
+        loop {
+            let since = self.stuck.get();
+            let waited = since.map_or(Duration::ZERO, |since| since.elapsed());
+            if waited >= long {
+                return;
+            }
+            sleep(long - waited).await;
+        }
+    }
+
     /// Whether nothing has come in and the other side has not closed, asked of the system at this moment.
     ///
     /// Guards against a close that has arrived but that no task was told of yet: a request written now would be
@@ -137,9 +154,14 @@
         // Until all of the buffer is with the system, the last byte is not written.
         watched.unfinished.set(true);
         loop {
-            ready!(watched.stream.poll_write_ready(cx))?;
+            let ready = watched.stream.poll_write_ready(cx);
+            if ready.is_pending() && watched.stuck.get().is_none() {
+                watched.stuck.set(Some(Instant::now()));
+            }
+            ready!(ready)?;
             match watched.stream.try_write(buf) {
                 Ok(written) => {
+                    watched.stuck.set(None);
                     watched.written.set(watched.written.get() + written as u64);
                     watched.unfinished.set(written < buf.len());
                     return Poll::Ready(Ok(written));
--- a/proxy/tests/clients.rs
+++ b/proxy/tests/clients.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::io::{ErrorKind, Write};
+
 use common::*;
 use serde_json::json;
 
@@ -78,6 +80,23 @@
     assert_eq!(proxy.client().ask(&good).status(), 200);
 }
 
+/// Guards against places held by peers that ask and ask but read none of their answers.
+#[test]
+fn a_peer_that_reads_no_answers_is_let_go() {
+    let host = host();
+    let (proxy, _roster) = Proxy::with_hosts(&[&host]);
+    let mut peer = proxy.client();
+    peer.stream.set_write_timeout(Some(HANG)).expect("a time limit");
+    let asked = "GET /ready HTTP/1.1\r\nHost: p\r\n\r\n".repeat(1000);
+    // Once the way back is full nothing more is read of it, so a write waits until the connection is closed.
+    let error = loop {
+        if let Err(error) = peer.stream.write_all(asked.as_bytes()) {
+            break error;
+        }
+    };
+    assert!(matches!(error.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe), "{error}");
+}
+
 /// Guards against the rest of a bad request read as a good one that no client sent.
 #[test]
 fn what_follows_a_bad_request_is_not_passed_on() {
