Spread calls to discovery over the fleet instead of asking in step

No proxy of the 70 that were restarted heard anything, so up to 270 connections a second went to servers that were gone.

What is harmless from one proxy: the first call at once, and a pause of 250 ms to 4 s, half of it fixed, after a failure. From a hundred it keeps the queue longer than a call may wait in it, and a call that has waited in vain has still taken its turn. Calls that failed at once came only when many had come just before, so the queue is bounded too.

Ruled out: discovery being down (standing watches never broke), our own time limits (every failure was a 503), the cost of the lists (not one was sent while the calls failed), and the watches' 200 ms gap (they were renewed at once).

At fault: `hear` and the first event in `handle` (src/logic.rs). Now the first call of a balancer that has a list waits for a turn drawn over the time that the fleet's calls need, and the pause after a failure has full jitter and grows with the fleet. With few balancers (five or fewer) that time is nothing, so they ask as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -117,7 +117,9 @@
 const ANSWERS_EACH: f64 = 4.0;
 /// ... but at least so many of a group.
 const SUBSET_LEAST: usize = 2;
-/// Pauses before discovery is asked again: the first, and the longest.
+/// Discovery takes calls one after another: so much time is left to it for the call of each balancer.
+const ASK_EACH: Millis = 50.0;
+/// Pauses before it is asked again: the first, and the longest; to both comes the time for the whole fleet.
 const ASK_AGAIN: Millis = 250.0;
 const ASK_AGAIN_MOST: Millis = 4_000.0;
 
@@ -205,7 +207,10 @@
             self.judged = Some(self.now);
             self.wake(JUDGE_EVERY, Wake::Judge, out);
             if self.settings.discovery == Discovery::Subscribe {
-                out.push(Action::Watch);
+                // Guards against a fleet that starts together: who has a list can wait for a turn, drawn at random.
+                let known = matches!(&event, Event::Hosts(HostNews::Persisted(list)) if !list.is_empty());
+                let wait = if known { self.unit() * self.turns() } else { 0.0 };
+                if wait > 0.0 { self.wake(wait, Wake::Ask, out) } else { out.push(Action::Watch) }
             }
         }
         match event {
@@ -880,12 +885,14 @@
         let persisted = matches!(news, HostNews::Persisted(_));
         let (HostNews::Persisted(entries) | HostNews::Complete(entries) | HostNews::Changes(entries)) = news
         else {
-            // Ask again with backoff, spread at random so that balancers do not ask together.
-            let pause = self.ask_pause * (0.5 + self.unit());
-            self.ask_pause = (self.ask_pause * 2.0).min(ASK_AGAIN_MOST);
+            // Guards against calls that wait in vain behind others that did: a queue that a whole fleet keeps
+            // filling answers nobody. So the pause grows, and is spread over all of its length.
+            let turns = self.turns();
+            let pause = 2.0 * self.unit() * (self.ask_pause + turns);
+            self.ask_pause = (2.0 * self.ask_pause + turns).min(ASK_AGAIN_MOST + turns);
             self.watching = false;
             if self.settings.discovery == Discovery::Subscribe {
-                self.wake(pause, Wake::Ask, out);
+                self.wake(pause.max(self.settings.tick), Wake::Ask, out);
             }
             return;
         };
@@ -903,6 +910,12 @@
         self.judge_hosts();
     }
 
+    /// The time that the fleet's calls to discovery need, each in its turn, beyond the first pause.
+    fn turns(&self) -> Millis {
+        let most = self.settings.contract.ask_within.map_or(f64::INFINITY, |within| within / 2.0);
+        (ASK_EACH * f64::from(self.settings.balancers) - ASK_AGAIN).clamp(0.0, most)
+    }
+
     fn list(&mut self, mut entry: HostEntry) {
         // Kinds that the settings do not name share one group.
         entry.kind = entry.kind.min(self.settings.kinds);
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -289,6 +289,39 @@
     assert_eq!(watches(&rig), asked, "a watch that stands is not asked for again");
 }
 
+/// Guards against a discovery that a whole fleet asks at once, and again at once when that failed: its calls wait
+/// for each other until none is answered any more.
+#[test]
+fn a_large_fleet_does_not_ask_discovery_together() {
+    let mut s = settings();
+    s.balancers = 100;
+    s.discovery = Discovery::Subscribe;
+    s.contract.ask_within = Some(10_000.0);
+    let fleet = (0..100).map(|me| Rig::seeded(Settings { me, ..s.clone() }, hosts(2), u64::from(me)));
+    let mut fleet: Vec<Rig> = fleet.collect();
+    let asked = |rig: &Rig| rig.actions.iter().filter(|a| **a == Action::Watch).count();
+    let mut heard = vec![0; fleet.len()];
+    let calls: Vec<usize> = (0..200)
+        .map(|_| {
+            let before = heard.iter().sum::<usize>();
+            for (rig, heard) in fleet.iter_mut().zip(&mut heard) {
+                if asked(rig) > *heard {
+                    *heard = asked(rig);
+                    rig.news(HostNews::Failed);
+                }
+                rig.pass(100.0);
+            }
+            heard.iter().sum::<usize>() - before
+        })
+        .collect();
+    let (most, total) = (calls.iter().max().expect("some steps"), calls.iter().sum::<usize>());
+    assert!(*most <= 15 && total < 500, "at most {most} in a tenth of a second, {total} in all");
+    assert!(heard.iter().all(|calls| *calls > 0), "everyone asks: {heard:?}");
+    // One that knows no host cannot wait for a turn.
+    s.me = 7;
+    assert_eq!(asked(&Rig::new(s, Vec::new())), 1);
+}
+
 #[test]
 fn a_failed_call_keeps_the_list() {
     let mut s = settings();
