Learn a kind's speed within 1.5 s, before a whole fleet has jammed it

Checked: the report of load comes 1 to 2 s late, so it was no help. So the comparison is right, only its speeds were old: at fault was a memory of 8 s (KIND_MEMORY, src/logic.rs), four times what a jam takes to come about.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,8 +21,9 @@
 
 /// How often health and admission are judged. Far below the seconds over which troubles come and go.
 const JUDGE_EVERY: Millis = 100.0;
-/// Memory of a kind's speed: long against one queue, short against a trouble of ten seconds.
-const KIND_MEMORY: Millis = 8_000.0;
+/// Memory of a kind's speed: a few answers of a quiet balancer, but no longer than a queue takes to become a jam.
+/// Guards against a fleet of them that still fills the kind which was the fastest some seconds ago.
+const KIND_MEMORY: Millis = 1_500.0;
 /// Memory of one host's slowness and failures: a few seconds, so that a recovered host comes back soon.
 const HOST_MEMORY: Millis = 4_000.0;
 /// Memory of what a class usually takes. Long: this is the yardstick that the others are held against.
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -104,6 +104,29 @@
     assert!(slow > 0, "the slow kind is not starved");
 }
 
+/// Guards against a kind that fills up while a fleet of quiet balancers, none of which has a queue of its own there,
+/// goes on choosing it for what it was.
+#[test]
+fn a_kind_that_slows_down_is_left_before_it_jams() {
+    let (s, list) = two_kinds(8);
+    let mut rig = Rig::new(Settings { balancers: 100, ..s }, list);
+    let mut open: Vec<(f64, RequestId)> = Vec::new();
+    let mut late = [0; 2];
+    for step in 0..300 {
+        let id = rig.request(0);
+        if let Some(sent) = rig.requests[&id].sent.first() {
+            let kind = sent.host.0 as usize % 2;
+            // Kind 1 is the faster one for 18 s, then its queues are full.
+            let latency = if kind == 0 { 60.0 } else { [30.0, 90.0][usize::from(step >= 240)] };
+            open.push((rig.now + latency, id));
+            late[kind] += u32::from(step >= 260);
+        }
+        rig.pass(75.0);
+        rig.serve_due(&mut open);
+    }
+    assert!(late[1] <= 2, "from 1.5 s after its fall on: {late:?}");
+}
+
 /// Guards against instant errors drawing traffic: speed comes from served answers alone.
 #[test]
 fn instant_errors_do_not_make_a_kind_fast() {
