Rest a host for longer each time that its trial times out

No proxy sent more than one at a time.

The rest of a silent host ends in a trial of single requests. `learn` (src/logic.rs) took a time-out of such a trial for slowness alone, and the look that rests slow hosts passes over those on probation, so the host stayed half open and was tried again after every time-out. One proxy loses a request in some seconds; the 15 to 25 proxies that share a host lose several a second, for as long as it is silent. Errors, failed dials and resets did end a trial.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -873,7 +873,14 @@
                 self.consider_ejection(h);
             }
             Outcome::TimedOut if lost => self.hosts[h].tell_lost(class, true, LOST_ATTEMPTS),
-            Outcome::TimedOut => self.hosts[h].slow.add(relative.max(1.0)),
+            Outcome::TimedOut => {
+                let host = &mut self.hosts[h];
+                host.slow.add(relative.max(1.0));
+                if host.probation > 0 {
+                    // Guards against a silent host that many balancers try again and again, one request each.
+                    host.eject(self.now, REST_FOR, PROBATION_ANSWERS);
+                }
+            }
             Outcome::Rejected => self.hosts[h].slow.add(CLIP),
             Outcome::Cancelled | Outcome::NeverSent => {}
         }
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -115,6 +115,26 @@
     assert!(count.get(&HostId(1)).copied().unwrap_or(0) < 6, "{count:?}");
 }
 
+/// Guards against a silent host that keeps being tried: harmless from one balancer, a steady loss from a hundred.
+#[test]
+fn a_host_that_stays_silent_is_tried_less_and_less() {
+    let mut s = settings();
+    s.limits.second_copies = false;
+    let mut rig = Rig::new(s, hosts(4));
+    stream(&mut rig, 2000.0, 50.0, |_, _| (20.0, Outcome::Served));
+    let silent = |h: HostId, _: f64| match h {
+        HostId(1) => (1000.0, Outcome::TimedOut),
+        _ => (20.0, Outcome::Served),
+    };
+    stream(&mut rig, 10_000.0, 50.0, silent);
+    let count = stream(&mut rig, 60_000.0, 50.0, silent);
+    let tried = count.get(&HostId(1)).copied().unwrap_or(0);
+    assert!((1..=6).contains(&tried), "{count:?}");
+    stream(&mut rig, 90_000.0, 50.0, |_, _| (20.0, Outcome::Served));
+    let count = stream(&mut rig, 4000.0, 50.0, |_, _| (20.0, Outcome::Served));
+    assert!(count[&HostId(1)] > 10, "back after its silence: {count:?}");
+}
+
 /// Guards against jams: when every host is late, part of the work is refused, and least worth goes first.
 #[test]
 fn under_overload_the_least_worth_per_work_is_refused() {
