Shed by what the goal gains, not by worth alone

`sheds` (src/logic.rs) ordered classes by worth per work. The settings' goal gives the class that is served worst more than a third of the figure, so at unequal parts an answer of reservering gains half as much again per work as one of bestelling, though it is worth a third. The module read the goal and used none of it. Now a class's value is its part of the whole and, while the class is the one served worst, its part of that too; repeats count with their first try.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,8 +21,8 @@
 
 /// How often health and admission are judged. Far below the seconds over which troubles come and go.
 const JUDGE_EVERY: Millis = 100.0;
-/// Memory of a kind's speed: a few answers of a quiet balancer, but no longer than a queue takes to become a jam.
-/// Guards against a fleet of them that still fills the kind which was the fastest some seconds ago.
+/// Memory of a kind's speed: a few answers of a quiet balancer, but no longer than a queue takes to jam.
+/// Guards against a fleet of them that still fills the kind that was the fastest some seconds ago.
 const KIND_MEMORY: Millis = 1_500.0;
 /// Memory of one host's slowness and failures: a few seconds, so that a recovered host comes back soon.
 const HOST_MEMORY: Millis = 4_000.0;
@@ -208,7 +208,7 @@
             self.judged = Some(self.now);
             self.wake(JUDGE_EVERY, Wake::Judge, out);
             if self.settings.discovery == Discovery::Subscribe {
-                // Guards against a fleet that starts together: who has a list can wait for a turn, drawn at random.
+                // Guards against a fleet that starts together: who has a list can wait for a turn.
                 let known = matches!(&event, Event::Hosts(HostNews::Persisted(list)) if !list.is_empty());
                 let wait = if known { self.unit() * self.turns() } else { 0.0 };
                 if wait > 0.0 { self.wake(wait, Wake::Ask, out) } else { out.push(Action::Watch) }
@@ -439,6 +439,8 @@
         let key = new.key.as_deref().filter(|_| self.settings.warm_keys).map(hash);
         let request = Request::new(new.class, self.now, patience, size, key);
         self.classes[new.class].size.add(size);
+        // A client's repeat belongs to its first try.
+        self.classes[new.class].kept.n += f64::from(u8::from(!new.is_retry));
         self.tenant_rate[tenant] += 1.0;
         self.offered[new.class * self.tenant_rate.len() + tenant] += self.usual(new.class, size);
         self.requests.insert(new.id, request);
@@ -538,12 +540,15 @@
         attempt.may_have_run = !never_ran;
         let h = attempt.host;
         let (dialled, time_up) = (attempt.dialled, self.now + self.settings.tick >= request.deadline);
-        let (class, size, over) = (request.class, request.size, request.ended);
+        let (class, size, over, arrived) = (request.class, request.size, request.ended, request.arrived);
         self.hosts[h].used = self.now;
         if let Some(failed) = self.hosts[h].lets_go(dialled, outcome) {
             self.hosts[h].dials.add(failed);
             self.load.dials.add(failed);
         }
+        if outcome == Outcome::Served && self.now - arrived <= self.settings.classes[class].aim {
+            self.classes[class].kept.sum += 1.0;
+        }
         self.learn(h, class, size, end, time_up);
         if over || end.ended {
             return self.request_over(id, out);
@@ -585,6 +590,20 @@
         within + (1.0 - within) * self.settings.over_share_worth
     }
 
+    /// What the goal gains by one more answer of a class: its part of the whole and, where the class is served
+    /// worst, its part of that as well.
+    fn class_value(&self, class: usize) -> f64 {
+        let Settings { goal, worth_by_work, .. } = &self.settings;
+        let worth =
+            |c: usize| self.settings.classes[c].worth * if *worth_by_work { self.typical(c) } else { 1.0 };
+        let asked = |c: usize| self.classes[c].kept.n.max(1.0);
+        let kept = |c: usize| self.classes[c].kept.shrunk(1.0, PRIOR_ANSWERS);
+        let all: f64 = (0..self.classes.len()).map(|c| worth(c) * asked(c)).sum();
+        let worst = (0..self.classes.len()).all(|c| kept(class) <= kept(c));
+        let whole = (goal.whole + goal.worst_window).max(f64::EPSILON);
+        whole * worth(class) / all + if worst { goal.worst_class / asked(class) } else { 0.0 }
+    }
+
     /// Load shedding: refuses the share `shed` of the work offered, from the least worth per work upwards.
     fn sheds(&mut self, class: usize, tenant: usize, is_retry: bool) -> bool {
         // Guards against bursts: work piles up at the servers long before the first late answer shows it.
@@ -602,10 +621,7 @@
             return false;
         }
         let tenants = self.tenant_rate.len();
-        let density = |c: usize, t: usize| {
-            let work = if self.settings.worth_by_work { 1.0 } else { self.typical(c) };
-            self.settings.classes[c].worth * self.share_worth(t) / work
-        };
+        let density = |c: usize, t: usize| self.class_value(c) * self.share_worth(t) / self.typical(c);
         let mine = density(class, tenant) * if is_retry { REPEAT_WORTH } else { 1.0 };
         let (mut below, mut level, mut total) = (0.0, 0.0, 0.0);
         for (i, work) in self.offered.iter().enumerate() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -200,12 +200,15 @@
     pub(crate) usual: Mean,
     /// Of each arrival; its count is how many came lately.
     pub(crate) size: Mean,
+    /// 1 for each answer within the aim, over the requests that came first, repeats left out.
+    pub(crate) kept: Mean,
 }
 
 impl ClassStats {
     pub(crate) fn fade(&mut self, keep: f64) {
         self.usual.fade(keep);
         self.size.fade(keep);
+        self.kept.fade(keep);
     }
 }
 
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -550,6 +550,19 @@
     assert!(parts[0] > 0.2 && parts[1] > 0.2, "{parts:?}");
 }
 
+/// Guards against one class that bears every refusal where the goal counts the class that is served worst.
+#[test]
+fn the_class_served_worst_is_spared_by_its_part_of_the_goal() {
+    let mut s = settings();
+    s.limits.second_copies = false;
+    s.classes.push(Class { worth: 3.0, ..class(Effect::Safe) });
+    let parts = overload(s.clone(), |step| (step % 2, step % 2, false));
+    assert!(parts[0] > parts[1] + 0.3, "the worth alone: {parts:?}");
+    s.goal = Goal { whole: 0.55, worst_class: 0.35, ..s.goal };
+    let parts = overload(s, |step| (step % 2, step % 2, false));
+    assert!((parts[0] - parts[1]).abs() < 0.1, "both alike: {parts:?}");
+}
+
 /// Guards against late answers: a repeat has lost part of its aim before it comes.
 #[test]
 fn known_repeats_are_shed_first() {
