--- a/src/logic.rs
+++ b/src/logic.rs
@@ -590,8 +590,8 @@
         within + (1.0 - within) * self.settings.over_share_worth
     }
 
-    /// What the goal gains by one more answer of a class: its part of the whole and, where it is served worst,
-    /// its part of that as well.
+    /// What the goal gains by one more answer of a class: its part of the whole, and while the class is
+    /// the one served worst, of what that counts for.
     fn class_value(&self, class: usize) -> f64 {
         let Settings { goal, worth_by_work, .. } = &self.settings;
         let worth =
