Spread the small subsets evenly over the hosts and make up for resting ones

And a proxy with two servers of a kind had one left, or none, while they rested.

A quiet balancer uses a part of each kind (`regroup`, src/logic.rs). Which part was drawn by its seed, so chance decided how many share a server. Now the part is an arc of one order that all balancers agree on, begun by the balancer's number among all, and a host that rests is passed over for the next in the order.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -130,8 +130,6 @@
 pub struct Balancer {
     settings: Settings,
     rng: Pcg32,
-    /// Tells the subsets of balancers apart.
-    salt: u64,
     now: Millis,
     hosts: Vec<Host>,
     index: BTreeMap<HostId, usize>,
@@ -175,7 +173,6 @@
             settings.classes.iter().map(|c| c.aim / AIM_OVER_USUAL).sum::<f64>() / classes.len() as f64;
         Ok(Self {
             rng: Pcg32::seed_from_u64(seed),
-            salt: seed,
             now: 0.0,
             hosts: Vec::new(),
             index: BTreeMap::new(),
@@ -944,9 +941,9 @@
         // Kinds that the settings do not name share one group.
         entry.kind = entry.kind.min(self.settings.kinds);
         entry.zone = entry.zone.min(self.settings.zones - 1);
-        let pull = rendezvous(self.salt, u64::from(entry.host.0));
+        let place = rendezvous(0, u64::from(entry.host.0));
         let group = entry.kind * self.settings.zones + entry.zone;
-        let fresh = Host::new(group, pull, self.classes.len(), entry);
+        let fresh = Host::new(group, place, self.classes.len(), entry);
         let Some(&h) = self.index.get(&fresh.entry.host) else {
             self.index.insert(fresh.entry.host, self.hosts.len());
             self.hosts.push(fresh);
@@ -973,8 +970,12 @@
         for group in self.groups.iter_mut() {
             let most = ((part * group.len() as f64).ceil() as usize).max(SUBSET_LEAST);
             if most < group.len() {
-                let pull = |h: &usize| self.hosts[*h].pull;
-                group.sort_by(|a, b| pull(b).total_cmp(&pull(a)));
+                // Guards against hosts that chance gives to many balancers: an arc of an order that all agree
+                // on, begun by the balancer's number. What rests is made up for by the next in the order.
+                let (size, me) = (group.len(), self.settings.me as usize);
+                group.sort_by(|&a, &b| self.hosts[a].place.total_cmp(&self.hosts[b].place));
+                group.rotate_left(size * me / self.settings.balancers as usize % size);
+                group.sort_by_key(|&h| self.now < self.hosts[h].ejected_until);
                 group.truncate(most);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,8 +5,8 @@
 
 pub(crate) struct Host {
     pub(crate) entry: HostEntry,
-    /// How much this balancer is drawn to it, where it uses a part of the hosts.
-    pub(crate) pull: f64,
+    /// Its place in the order from which balancers take their parts of the hosts.
+    pub(crate) place: f64,
     /// Its group: the hosts of its kind and zone.
     pub(crate) group: usize,
     pub(crate) inflight: u32,
@@ -43,9 +43,9 @@
 
 impl Host {
     /// A host of which nothing is known yet.
-    pub(crate) fn new(group: usize, pull: f64, classes: usize, entry: HostEntry) -> Host {
+    pub(crate) fn new(group: usize, place: f64, classes: usize, entry: HostEntry) -> Host {
         Host {
-            pull,
+            place,
             group,
             inflight: 0,
             slow: Mean::default(),
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -283,6 +283,46 @@
     assert!(!rig.actions.iter().any(|a| matches!(a, Action::Cancel { .. })));
 }
 
+// ---- Subsets -----------------------------------------------------------------------------------------------
+
+/// The hosts that a quiet balancer of a hundred sends its next requests to.
+fn used(rig: &mut Rig) -> std::collections::BTreeSet<HostId> {
+    let hosts = (0..16).map(|_| {
+        let id = rig.request(0);
+        rig.pass(20.0);
+        rig.finish(id, 0, Outcome::Served);
+        rig.pass(480.0);
+        rig.host_of(id, 0)
+    });
+    hosts.collect()
+}
+
+/// Guards against a host that the fleet crowds because chance put it into many small subsets.
+#[test]
+fn the_subsets_of_a_fleet_share_its_hosts_evenly() {
+    let mut s = settings();
+    s.balancers = 100;
+    let mut shares = std::collections::BTreeMap::new();
+    for me in 0..100 {
+        let mut rig = Rig::seeded(Settings { me, ..s.clone() }, hosts(20), u64::from(me));
+        used(&mut rig).into_iter().for_each(|host| *shares.entry(host).or_insert(0) += 1);
+    }
+    let (least, most) = (shares.values().min(), shares.values().max());
+    assert!(shares.len() == 20 && least >= Some(&8) && most <= Some(&12), "ten would be even: {shares:?}");
+}
+
+#[test]
+fn a_host_that_rests_is_made_up_for_in_its_subset() {
+    let mut rig = Rig::new(Settings { balancers: 100, ..settings() }, hosts(20));
+    let before = used(&mut rig);
+    let bad = *before.first().expect("some host");
+    let fails = |h: HostId, _: f64| if h == bad { (1.0, Outcome::Error) } else { (20.0, Outcome::Served) };
+    stream(&mut rig, 12_000.0, 500.0, fails);
+    let count = stream(&mut rig, 12_000.0, 500.0, fails);
+    let others = count.keys().filter(|host| **host != bad).count();
+    assert!(others >= before.len(), "{before:?}, then {count:?}");
+}
+
 // ---- Discovery --------------------------------------------------------------------------------------------
 
 #[test]
