Begin a balancer's arc of hosts at random within its own part

The beginning is now drawn by the seed within the part of the order that belongs to the balancer's number, which keeps the fleet as even.

The test of the learnt speeds leaned on one seed and failed by chance when the draw was added.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -130,6 +130,8 @@
 pub struct Balancer {
     settings: Settings,
     rng: Pcg32,
+    /// Where among all balancers this one stands, from 0 to 1; at random within the part that is its own.
+    turn: f64,
     now: Millis,
     hosts: Vec<Host>,
     index: BTreeMap<HostId, usize>,
@@ -171,8 +173,11 @@
         let tenants = settings.tenants.len().max(1);
         let usual =
             settings.classes.iter().map(|c| c.aim / AIM_OVER_USUAL).sum::<f64>() / classes.len() as f64;
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let share = f64::from(rng.next_u32()) / (f64::from(u32::MAX) + 1.0);
         Ok(Self {
-            rng: Pcg32::seed_from_u64(seed),
+            rng,
+            turn: (f64::from(settings.me % settings.balancers) + share) / f64::from(settings.balancers),
             now: 0.0,
             hosts: Vec::new(),
             index: BTreeMap::new(),
@@ -972,9 +977,9 @@
             if most < group.len() {
                 // Guards against hosts that chance gives to many balancers: an arc of an order that all agree
                 // on, begun by the balancer's number. What rests is made up for by the next in the order.
-                let (size, me) = (group.len(), self.settings.me as usize);
+                let first = ((group.len() as f64 * self.turn) as usize).min(group.len() - 1);
                 group.sort_by(|&a, &b| self.hosts[a].place.total_cmp(&self.hosts[b].place));
-                group.rotate_left(size * me / self.settings.balancers as usize % size);
+                group.rotate_left(first);
                 group.sort_by_key(|&h| self.now < self.hosts[h].ejected_until);
                 group.truncate(most);
             }
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -109,22 +109,24 @@
 #[test]
 fn a_kind_that_slows_down_is_left_before_it_jams() {
     let (s, list) = two_kinds(8);
-    let mut rig = Rig::new(Settings { balancers: 100, ..s }, list);
-    let mut open: Vec<(f64, RequestId)> = Vec::new();
     let mut late = [0; 2];
-    for step in 0..300 {
-        let id = rig.request(0);
-        if let Some(sent) = rig.requests[&id].sent.first() {
-            let kind = sent.host.0 as usize % 2;
-            // Kind 1 is the faster one for 18 s, then its queues are full.
-            let latency = if kind == 0 { 60.0 } else { [30.0, 90.0][usize::from(step >= 240)] };
-            open.push((rig.now + latency, id));
-            late[kind] += u32::from(step >= 260);
+    for seed in 0..20 {
+        let mut rig = Rig::seeded(Settings { balancers: 100, ..s.clone() }, list.clone(), seed);
+        let mut open: Vec<(f64, RequestId)> = Vec::new();
+        for step in 0..300 {
+            let id = rig.request(0);
+            if let Some(sent) = rig.requests[&id].sent.first() {
+                let kind = sent.host.0 as usize % 2;
+                // Kind 1 is the faster one for 18 s, then its queues are full.
+                let latency = if kind == 0 { 60.0 } else { [30.0, 90.0][usize::from(step >= 240)] };
+                open.push((rig.now + latency, id));
+                late[kind] += u32::from((252..272).contains(&step));
+            }
+            rig.pass(75.0);
+            rig.serve_due(&mut open);
         }
-        rig.pass(75.0);
-        rig.serve_due(&mut open);
     }
-    assert!(late[1] <= 2, "from 1.5 s after its fall on: {late:?}");
+    assert!(late[1] * 8 < late[0], "around 1.5 s after its fall: {late:?}");
 }
 
 /// Guards against instant errors drawing traffic: speed comes from served answers alone.
