Take cold hosts for warmer where their own reports show little load

New servers of the fast kind got 12 to 17 requests a second, which 0.28 of their cores bore: they were much warmer than contract.coldFrom and contract.cold say at the least.

What a cold host may get is the contract's least part of what a warm one gets from here (`fill_cold_budgets`, src/logic.rs). One proxy cannot know more from its own few requests, but the report in each answer counts all that the fleet sends, and the module passed over it. Now a host that reports less than 0.7 of its cores in use is taken for warmer, step by step, and for less warm again above it; never for more than a warm one. The rule on pushing cold servers stays far: 0.7 of the present capacity is aimed at, four times it is forbidden. Where nothing is reported, nothing changes.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -114,6 +114,10 @@
 const STRAIN_MEMORY_MOST: Millis = 3_000.0;
 /// Where handshakes are free, idle connections are kept far beyond a busy balancer's next request.
 const KEEP_IDLE: Millis = 1_000.0;
+/// A cold host that reports less load than this, from all balancers together, is taken for warmer than it has
+/// to be by then; after about so long at no load, for nearly warm.
+const COLD_BUSY: f64 = 0.7;
+const WARMER_IN: Millis = 3_000.0;
 /// Subsetting: a balancer uses no more hosts than give it so many answers each in HOST_MEMORY ...
 const ANSWERS_EACH: f64 = 4.0;
 /// ... but at least so many of a group.
@@ -810,11 +814,16 @@
         for h in 0..self.hosts.len() {
             let host = &self.hosts[h];
             // Guards against a cold host that something else slows down as well: both shrink what it can do.
-            let rate = self.warm_rates[host.entry.kind] * self.warmth(host) * host.readiness;
+            let warmth = (self.warmth(host) + host.warmer).min(1.0);
+            let rate = self.warm_rates[host.entry.kind] * warmth * host.readiness;
             let most = (rate * self.settings.contract.fall / 4.0).max(one);
             // While no host of the kind was ever warm, one request at a time keeps step with what it can do.
             let unknown = if host.inflight == 0 { one } else { 0.0 };
-            let budget = &mut self.hosts[h].cold_budget;
+            let host = &mut self.hosts[h];
+            // Guards against cold hosts that a fleet leaves idle: only their reports tell what all send them.
+            let spare = COLD_BUSY * host.busy.n - host.busy.sum;
+            host.warmer = (host.warmer + spare / host.busy.n.max(1.0) * passed / WARMER_IN).clamp(0.0, 1.0);
+            let budget = &mut host.cold_budget;
             *budget = if rate > 0.0 { (*budget + rate * passed).min(most) } else { unknown };
         }
     }
@@ -860,6 +869,9 @@
             self.load.answers += 1.0;
             self.load.strains[class].weigh(part, weight);
         }
+        if let Some(busy) = end.report.utilization {
+            self.hosts[h].busy.add(busy.clamp(0.0, 1.0));
+        }
         let answered = outcome == Outcome::Served;
         if latency > HEDGE_AT * usual && (answered || time_up && outcome == Outcome::TimedOut) {
             self.load.overdue.add(f64::from(u8::from(answered)));
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,6 +39,10 @@
     pub(crate) sent: f64,
     /// Slow start: work that may still be sent while it is cold.
     pub(crate) cold_budget: f64,
+    /// What it lately reported as the part of its CPU in use.
+    pub(crate) busy: Mean,
+    /// How much warmer it is taken to be than the contract says at least.
+    pub(crate) warmer: f64,
 }
 
 impl Host {
@@ -64,6 +68,8 @@
             dials: Mean::default(),
             sent: 0.0,
             cold_budget: 0.0,
+            busy: Mean::default(),
+            warmer: 0.0,
             entry,
         }
     }
@@ -74,6 +80,7 @@
         self.failures.fade(evidence);
         self.lost.iter_mut().for_each(|lost| lost.fade(evidence));
         self.sent *= rate;
+        self.busy.fade(rate);
     }
 
     /// Nothing goes there for `pause`, doubled each time up to sixteenfold; then it is on probation.
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -283,6 +283,31 @@
     assert!(!rig.actions.iter().any(|a| matches!(a, Action::Cancel { .. })));
 }
 
+/// Guards against cold hosts that idle while the warm ones jam: their reports tell of the whole fleet's load.
+#[test]
+fn a_cold_host_with_little_load_gets_more_and_a_busy_one_no_more() {
+    let sent = |busy: f64| {
+        let mut rig = Rig::new(settings(), hosts(2));
+        stream(&mut rig, 3000.0, 10.0, |_, _| (20.0, Outcome::Served));
+        let started = Some(rig.now);
+        rig.news(HostNews::Changes(vec![HostEntry { started, ..host(3) }]));
+        let mut count = 0;
+        for _ in 0..300 {
+            let id = rig.request(0);
+            rig.pass(10.0);
+            if rig.open(id).contains(&0) {
+                let report = LoadReport { utilization: Some(busy), ..LoadReport::default() };
+                count += u32::from(rig.host_of(id, 0) == HostId(3));
+                rig.finish_with(id, 0, Outcome::Served, report);
+            }
+        }
+        count
+    };
+    let (idle, half, busy) = (sent(0.1), sent(0.7), sent(1.0));
+    assert!(idle * 4 > half * 5, "{idle} where it idles, {half} where it is well used");
+    assert!(busy <= half + 3, "{busy} where it is full, {half} where it is well used");
+}
+
 // ---- Subsets -----------------------------------------------------------------------------------------------
 
 /// The hosts that a quiet balancer of a hundred sends its next requests to.
