Keep the known list where a whole one is no good

A whole list without `endpoints`, or with entries of which none can be read, counted as a list of no hosts: all that was known went, and every request was refused until the next change. Cut short, no JSON, refused or broken off, a list already changed nothing.

At fault: the default for `endpoints`, and `next` and `read` (proxy/src/discovery.rs), which took the version and let go of the hosts before looking at what was left. Such an answer now counts as a failed call: the list and its version stay, and the decisions ask again with their backoff. A whole list that says in good form that there are no hosts still does.

--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -56,6 +56,8 @@
     Body(Box<dyn std::error::Error + Send + Sync>),
     #[error("not a list: {0}")]
     Form(#[from] serde_json::Error),
+    #[error("a whole list without one entry that can be read")]
+    Entries,
     #[error("no answer in time")]
     Silent(#[from] tokio::time::error::Elapsed),
 }
@@ -65,7 +67,7 @@
     index: u64,
     #[serde(default)]
     snapshot: bool,
-    #[serde(default)]
+    /// Absent from no list; without them it is cut short, not empty.
     endpoints: Vec<Value>,
 }
 
@@ -249,9 +251,12 @@
             sleep(BREATH).await;
             return Ok(());
         }
-        self.index = Some(list.index);
         let empty = list.endpoints.is_empty();
         let entries = self.read(list.endpoints, list.snapshot);
+        if list.snapshot && !empty && entries.is_empty() {
+            return Err(CallError::Entries);
+        }
+        self.index = Some(list.index);
         if list.snapshot {
             self.driver.hear(HostNews::Complete(entries));
         } else if !empty || self.mode == Mode::Subscribe {
@@ -278,14 +283,16 @@
 
     /// Entries in the decisions' form; bad ones are skipped and logged.
     fn read(&mut self, endpoints: Vec<Value>, whole: bool) -> Vec<HostEntry> {
-        let mut entries = Vec::with_capacity(endpoints.len());
+        let given = endpoints.len();
+        let mut entries = Vec::with_capacity(given);
         for value in endpoints {
             match self.read_one(value) {
                 Ok(entry) => entries.push(entry),
                 Err(problem) => eprintln!("martensill: discovery: an entry is left out: {problem}"),
             }
         }
-        if whole {
+        // Guards against a whole list that is no good: it says of no host that it is gone.
+        if whole && (given == 0 || !entries.is_empty()) {
             let listed: HashSet<HostId> = entries.iter().map(|entry| entry.host).collect();
             self.hosts
                 .known()
--- a/proxy/tests/discovery.rs
+++ b/proxy/tests/discovery.rs
@@ -149,6 +149,36 @@
     only(&mut proxy.client(), "here");
 }
 
+/// Guards against answers that are no good: none of them empties what is known, and the version held stays.
+#[test]
+fn a_list_that_is_no_good_leaves_the_one_that_is_known() {
+    let here = host("here");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut settings = settings();
+    settings["discovery"] = json!("subscribe");
+    let mut config = config(listener.local_addr().expect("bound"), settings);
+    config["known"] =
+        json!({"index": 41, "snapshot": true, "endpoints": [endpoint("h", here.address, "SERVING")]});
+    let proxy = Proxy::start(&config);
+    for say in [
+        answer("200 OK", "", r#"{"index": 42, "snapshot": true, "endpoints": [{"nam"#),
+        answer("200 OK", "", r#"{"index": 42, "snapshot": true}"#),
+        answer("200 OK", "", r#"{"index": 42, "snapshot": true, "endpoints": [7, {}, {"name": "h"}]}"#),
+        "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"index\": 42".to_owned(),
+        answer("503 Service Unavailable", "", ""),
+        String::new(),
+    ] {
+        let (mut stream, _) = listener.accept().expect("a call");
+        let mut reader = std::io::BufReader::new(stream.try_clone().expect("a second handle"));
+        let call = read_message(&mut reader).expect("a call");
+        assert!(call.start.contains("after=41&"), "{}", call.start);
+        std::io::Write::write_all(&mut stream, say.as_bytes()).expect("written");
+        drop((stream, reader));
+        // A new connection each time: the pauses grow, and one that idles is closed.
+        only(&mut proxy.client(), "here");
+    }
+}
+
 /// Guards against a call that the settings do not want: where discovery is asked, the decisions say when.
 #[test]
 fn a_list_that_is_asked_for_is_watched_from_the_known_version() {
