Answer operators on a second address with figures counted where answers leave

Answers are counted in the driver as they come out of its ticket, attempts where hyper has nothing left to write of a request.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -46,6 +46,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators connect; without it there is no such address.
+    pub admin: Option<SocketAddr>,
     /// Where discovery is, or the agent that passes on its news.
     pub discovery: SocketAddr,
     /// For random numbers; new with each start.
@@ -73,11 +75,20 @@
     pub kinds: Vec<String>,
 }
 
+/// The variables that stand above the file.
+struct Given {
+    name: Option<String>,
+    listen: Option<String>,
+    admin: Option<String>,
+    discovery: Option<String>,
+}
+
 #[derive(Deserialize)]
 struct File {
     #[serde(default)]
     name: String,
     listen: Option<String>,
+    admin_addr: Option<String>,
     discovery: Option<String>,
     seed: Option<String>,
     #[serde(default)]
@@ -99,7 +110,13 @@
     pub fn from_env() -> Result<Config, ConfigError> {
         let text = Config::read_file()?;
         let var = |name| env::var(name).ok().filter(|value| !value.is_empty());
-        Config::new(&text, var("GW_NAME"), var("GW_LISTEN"), var("GW_DISCOVERY"))
+        let given = Given {
+            name: var("GW_NAME"),
+            listen: var("GW_LISTEN"),
+            admin: var("GW_ADMIN_ADDR"),
+            discovery: var("GW_DISCOVERY"),
+        };
+        Config::new(&text, given)
     }
 
     /// Where discovery is by the file as it is now; that alone may change while the program runs. The variables
@@ -122,12 +139,7 @@
         fs::read(&path).map_err(|source| ConfigError::Unreadable { path, source })
     }
 
-    fn new(
-        text: &[u8],
-        name: Option<String>,
-        listen: Option<String>,
-        discovery: Option<String>,
-    ) -> Result<Config, ConfigError> {
+    fn new(text: &[u8], given: Given) -> Result<Config, ConfigError> {
         let mut json = serde_json::Deserializer::from_slice(text);
         let file: File = serde_path_to_error::deserialize(&mut json)
             .map_err(|error| wrong(&error.path().to_string(), &error.inner().to_string()))?;
@@ -155,10 +167,12 @@
         if settings.classes.iter().any(|class| class.streamed) {
             return Err(wrong("settings.classes", "streamed classes are not served by this program"));
         }
+        let admin = given.admin.or(file.admin_addr).map(|text| address(Some(text), None, "admin_addr"));
         Ok(Config {
-            name: name.unwrap_or(file.name),
-            listen: address(listen, file.listen, "listen")?,
-            discovery: address(discovery, file.discovery, "discovery")?,
+            name: given.name.unwrap_or(file.name),
+            listen: address(given.listen, file.listen, "listen")?,
+            admin: admin.transpose()?,
+            discovery: address(given.discovery, file.discovery, "discovery")?,
             seed,
             sockets,
             known: file.known,
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -1,7 +1,7 @@
 //! Drives the decisions: sole owner of the balancer, its ids, clock and wake timers. What happens becomes events,
 //! and actions are carried out; nothing is decided here.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -10,6 +10,7 @@
     Action, AttemptEnd, Balancer, Event, HostId, HostNews, LoadReport, Millis, NewRequest, Outcome,
     RequestId, Settings, SettingsError,
 };
+use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
@@ -35,6 +36,14 @@
     Fetch,
 }
 
+/// How the requests of one class ended.
+#[derive(Clone, Copy, Default)]
+struct Ended {
+    served: u64,
+    refused: u64,
+    failed: u64,
+}
+
 /// What is known of a request before it is given to the decisions.
 #[derive(Default)]
 pub struct Facts {
@@ -111,6 +120,11 @@
     clock: Clock,
     hosts: Rc<Hosts>,
     asks: mpsc::UnboundedSender<Ask>,
+    /// In the order of the settings' classes.
+    classes: Vec<String>,
+    ended: RefCell<Vec<Ended>>,
+    /// Requests that were taken and have not ended.
+    taken: Cell<usize>,
 }
 
 impl Driver {
@@ -120,13 +134,40 @@
     /// When the decisions cannot work with the settings.
     pub fn new(
         settings: Settings,
+        classes: Vec<String>,
         seed: u64,
         hosts: Rc<Hosts>,
         asks: mpsc::UnboundedSender<Ask>,
     ) -> Result<Rc<Driver>, SettingsError> {
+        let ended = RefCell::new(vec![Ended::default(); settings.classes.len()]);
         let balancer = Balancer::new(settings, seed)?;
         let state = State { balancer, jobs: HashMap::new(), next_id: 0, queue: VecDeque::new() };
-        Ok(Rc::new(Driver { state: RefCell::new(state), clock: Clock::new(), hosts, asks }))
+        let (state, clock, taken) = (RefCell::new(state), Clock::new(), Cell::new(0));
+        Ok(Rc::new(Driver { state, clock, hosts, asks, classes, ended, taken }))
+    }
+
+    /// The figures for operators, as one line of JSON. Counts are from the start of the process.
+    pub fn figures(&self) -> Value {
+        let by_class = |count: fn(&Ended) -> u64| -> Value {
+            let ended = self.ended.borrow();
+            self.classes
+                .iter()
+                .zip(ended.iter())
+                .map(|(class, ended)| (class.clone(), count(ended)))
+                .collect()
+        };
+        let listed = self.hosts.known();
+        let state = self.state.borrow();
+        let avoided = state.balancer.avoided(self.clock.now());
+        json!({
+            "success": by_class(|ended| ended.served),
+            "overload": by_class(|ended| ended.refused),
+            "error": by_class(|ended| ended.failed),
+            "dispatches": self.hosts.written_whole(),
+            "concurrent": self.taken.get(),
+            "targets": listed.len(),
+            "targets_disabled": avoided.filter(|host| listed.contains(host)).count(),
+        })
     }
 
     /// Passes on news of the list of hosts.
@@ -145,6 +186,7 @@
             state.jobs.insert(id, job);
             id
         };
+        self.taken.set(self.taken.get() + 1);
         let patience = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         let Facts { class, tenant, is_retry, update, size_hint, key } = facts;
         self.feed(Event::Request(NewRequest {
@@ -157,7 +199,7 @@
             size_hint,
             key,
         }));
-        Ticket { id, answer, driver: Rc::clone(self) }
+        Ticket { id, class, answer, driver: Rc::clone(self) }
     }
 
     /// The client has left, or has been answered without the decisions.
@@ -295,6 +337,7 @@
 /// The client's side of a request that was taken in.
 pub struct Ticket {
     id: RequestId,
+    class: usize,
     answer: oneshot::Receiver<Answer>,
     driver: Rc<Driver>,
 }
@@ -302,19 +345,29 @@
 impl Ticket {
     /// The final answer; a failure at `at` if the decisions have none by then.
     pub async fn answer(mut self, at: Instant) -> Answer {
-        match tokio::time::timeout_at(at, &mut self.answer).await {
+        let answer = match tokio::time::timeout_at(at, &mut self.answer).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => Answer::Failed,
             Err(_) => {
                 eprintln!("martensill: a request was left without an answer until its time was up");
                 Answer::Failed
             }
+        };
+        // The one place that counts how requests ended: every final answer to a client comes out here.
+        if let Some(ended) = self.driver.ended.borrow_mut().get_mut(self.class) {
+            match &answer {
+                Answer::Served(_) => ended.served += 1,
+                Answer::Refused(_) => ended.refused += 1,
+                Answer::Failed => ended.failed += 1,
+            }
         }
+        answer
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
+        self.driver.taken.set(self.driver.taken.get() - 1);
         self.driver.gone(self.id);
     }
 }
@@ -334,8 +387,9 @@
                 "discovery":"automatic","limits":{"attemptsCap":1},"tick":1}"#,
         )
         .expect("all that is required");
-        let hosts = Hosts::new(Sockets::new(1024), 1000.0, 100.0);
-        Driver::new(read_settings(settings), 1, hosts, mpsc::unbounded_channel().0).expect("usable")
+        let hosts = Hosts::new(Sockets::new(1024, 0), 1000.0, 100.0);
+        let classes = vec!["look".to_owned()];
+        Driver::new(read_settings(settings), classes, 1, hosts, mpsc::unbounded_channel().0).expect("usable")
     }
 
     fn order() -> Order {
@@ -364,6 +418,27 @@
         });
     }
 
+    /// Guards against figures that differ from what clients saw: each final answer is counted once, as what it was.
+    #[test]
+    fn every_final_answer_is_counted_once() {
+        run(async {
+            let driver = driver();
+            let later = |ms| Instant::now() + Duration::from_millis(ms);
+            let (left, waits) = (
+                driver.take(Facts::default(), order(), later(400)),
+                driver.take(Facts::default(), order(), later(400)),
+            );
+            assert_eq!(driver.figures()["concurrent"], 2);
+            drop(left);
+            assert!(matches!(waits.answer(later(400)).await, Answer::Refused(_)));
+            let late = driver.take(Facts::default(), order(), later(400));
+            assert!(matches!(late.answer(later(1)).await, Answer::Failed));
+            let wanted = json!({"success": {"look": 0}, "overload": {"look": 1}, "error": {"look": 1},
+                "dispatches": 0, "concurrent": 0, "targets": 0, "targets_disabled": 0});
+            assert_eq!(driver.figures(), wanted);
+        });
+    }
+
     /// Guards against memory that grows with every request: whatever the ending, nothing is kept.
     #[test]
     fn every_ending_empties_the_map() {
--- a/proxy/src/hosts.rs
+++ b/proxy/src/hosts.rs
@@ -1,7 +1,7 @@
 //! Hosts: where they are, connections to them, and attempts with their outcomes. One request a connection at a
 //! time; nothing is ever sent again from here.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -110,6 +110,8 @@
     table: RefCell<HashMap<HostId, Upstream>>,
     idle_most: Duration,
     dial_most: Duration,
+    /// Attempts whose last byte was written.
+    written_whole: Rc<Cell<u64>>,
 }
 
 impl Hosts {
@@ -120,6 +122,7 @@
             table: RefCell::default(),
             idle_most: millis(conn_idle * IDLE_PART),
             dial_most: millis(dial_timeout),
+            written_whole: Rc::default(),
         })
     }
 
@@ -143,6 +146,11 @@
         self.table.borrow().keys().copied().collect()
     }
 
+    /// How many attempts were written to their last byte.
+    pub fn written_whole(&self) -> u64 {
+        self.written_whole.get()
+    }
+
     /// Closes the idle connections to a host.
     pub fn close_idle(&self, host: HostId) {
         if let Some(upstream) = self.table.borrow_mut().get_mut(&host) {
@@ -185,7 +193,7 @@
         if self.serving(host) != Some(place) {
             return End::bare(Outcome::NeverSent);
         }
-        conn.watched.begin();
+        conn.watched.begin(&self.written_whole);
         let exchanged = timeout_at(until, exchange(&mut conn.sender, order, until)).await;
         let never = conn.watched.is_partial();
         match exchanged {
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod admin;
 mod clients;
 mod config;
 mod discovery;
@@ -9,16 +10,19 @@
 mod hosts;
 mod sockets;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
+use crate::admin::Admin;
 use crate::clients::Front;
 use crate::config::Config;
 use crate::discovery::Discovery;
@@ -51,17 +55,17 @@
 }
 
 async fn run(config: Config) -> std::io::Result<()> {
-    let Config { name, listen, discovery, seed, sockets, known, settings, names } = config;
+    let Config { name, listen, admin, discovery, seed, sockets, known, settings, names } = config;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let listener = clients::listen(listen)
-        .map_err(|error| std::io::Error::new(error.kind(), format!("GW_LISTEN: {listen}: {error}")))?;
+    let listener = bind("GW_LISTEN", listen)?;
     let bound = listener.local_addr()?;
-    let sockets = Sockets::new(sockets);
+    let operators = admin.map(|address| bind("admin_addr", address)).transpose()?;
+    let sockets = Sockets::new(sockets, operators.as_ref().map_or(0, |_| admin::DESCRIPTORS));
     let hosts = Hosts::new(Rc::clone(&sockets), settings.limits.conn_idle, settings.limits.dial_timeout);
     let (wish, wishes) = mpsc::unbounded_channel();
-    let driver = Driver::new(settings.clone(), seed, Rc::clone(&hosts), wish)
+    let driver = Driver::new(settings.clone(), names.classes.clone(), seed, Rc::clone(&hosts), wish)
         .map_err(|error| std::io::Error::other(error.to_string()))?;
     let moves = watch::Sender::new(discovery);
     let list = Discovery::new(
@@ -73,6 +77,11 @@
         Rc::clone(&driver),
     );
     let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+    if let Some(operators) = operators {
+        eprintln!("martensill: {name} answers operators on {}", operators.local_addr()?);
+        let admin = Admin { driver: Rc::clone(&driver), ready: list.ready() };
+        spawn_local(admin::serve(operators, Rc::new(admin)));
+    }
     let front = Front { driver, settings, names, ready: list.ready(), sockets, hosts: Rc::clone(&hosts) };
     spawn_local(hosts.sweep());
     spawn_local(list.run(known, wishes));
@@ -101,3 +110,9 @@
     }
     Ok(())
 }
+
+/// Listens on the address that `field` names.
+fn bind(field: &str, address: SocketAddr) -> std::io::Result<TcpListener> {
+    clients::listen(address)
+        .map_err(|error| std::io::Error::new(error.kind(), format!("{field}: {address}: {error}")))
+}
--- a/proxy/src/sockets.rs
+++ b/proxy/src/sockets.rs
@@ -37,9 +37,13 @@
 }
 
 impl Sockets {
-    /// A budget below `limit` descriptors.
-    pub fn new(limit: usize) -> Rc<Sockets> {
-        Rc::new(Sockets { most: limit.saturating_sub(OWN), used: Default::default(), freed: Notify::new() })
+    /// A budget below `limit` descriptors, of which `apart` are for other uses.
+    pub fn new(limit: usize, apart: usize) -> Rc<Sockets> {
+        Rc::new(Sockets {
+            most: limit.saturating_sub(OWN + apart),
+            used: Default::default(),
+            freed: Notify::new(),
+        })
     }
 
     /// A place for one more connection, if there is one for that side.
@@ -82,6 +86,8 @@
     stream: TcpStream,
     written: Cell<u64>,
     unfinished: Cell<bool>,
+    /// Where a request is counted once it is written whole; taken out then.
+    counts: Cell<Option<Rc<Cell<u64>>>>,
     /// Since when the other side has taken none of what waits to be written.
     stuck: Cell<Option<Instant>>,
     _slot: Slot,
@@ -92,12 +98,13 @@
     pub fn new(stream: TcpStream, slot: Slot) -> Rc<Watched> {
         // Fails only where the connection is broken already, which the first use shows.
         let _ = stream.set_nodelay(true);
-        let (written, unfinished, stuck) = Default::default();
-        Rc::new(Watched { stream, written, unfinished, stuck, _slot: slot })
+        let (written, unfinished, counts, stuck) = Default::default();
+        Rc::new(Watched { stream, written, unfinished, counts, stuck, _slot: slot })
     }
 
-    /// Forgets what was written so far: a new request begins.
-    pub fn begin(&self) {
+    /// Forgets what was written so far: a new request begins, to be counted in `whole` when all of it is written.
+    pub fn begin(&self, whole: &Rc<Cell<u64>>) {
+        self.counts.set(Some(Rc::clone(whole)));
         self.written.set(0);
         self.unfinished.set(false);
     }
@@ -173,6 +180,12 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Asked for when nothing waits to be written any more.
+        if !self.0.is_partial()
+            && let Some(whole) = self.0.counts.take()
+        {
+            whole.set(whole.get() + 1);
+        }
         Poll::Ready(Ok(()))
     }
 
@@ -196,7 +209,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("bound");
         let stream = TcpStream::connect(address).await.expect("accepted");
-        let slot = Sockets::new(1024).place(Side::Host).expect("a place");
+        let slot = Sockets::new(1024, 0).place(Side::Host).expect("a place");
         (Watched::new(stream, slot), listener.accept().expect("a connection").0)
     }
 
@@ -215,7 +228,7 @@
             let mut io = Io(Rc::clone(&watched));
             io.write_all(b"whole").await.expect("written");
             assert!(!watched.is_partial());
-            watched.begin();
+            watched.begin(&Rc::default());
             assert!(watched.is_partial(), "a new request begins");
             // More than all buffers hold, to one who does not read: it stays unfinished.
             let much = vec![0; 64 << 20];
@@ -250,7 +263,7 @@
 
     #[test]
     fn each_side_of_the_budget_keeps_a_part() {
-        let sockets = Sockets::new(OWN + 8);
+        let sockets = Sockets::new(OWN + 9, 1);
         let clients: Vec<Slot> = std::iter::from_fn(|| sockets.place(Side::Client)).collect();
         let hosts: Vec<Slot> = std::iter::from_fn(|| sockets.place(Side::Host)).collect();
         assert_eq!((clients.len(), hosts.len(), sockets.is_full()), (6, 2, true));
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -270,6 +270,8 @@
 pub struct Proxy {
     pub child: Child,
     pub address: SocketAddr,
+    /// Where it answers operators, if the configuration says so.
+    pub operators: Option<SocketAddr>,
 }
 
 impl Drop for Proxy {
@@ -296,6 +298,7 @@
         .env_remove("GW_NAME")
         .env_remove("GW_LISTEN")
         .env_remove("GW_DISCOVERY")
+        .env_remove("GW_ADMIN_ADDR")
         .stderr(Stdio::piped())
         .spawn()
         .expect("the program starts")
@@ -307,16 +310,43 @@
         let mut child = spawn(config);
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
+        let mut operators = None;
         let address = loop {
             line.clear();
             assert!(log.read_line(&mut line).expect("a log") > 0, "ended before it listened");
+            if let Some((_, address)) = line.trim_end().split_once("answers operators on ") {
+                operators = Some(address.parse().expect("an address"));
+            }
             if let Some((_, address)) = line.trim_end().split_once("listens on ") {
                 break address.parse().expect("an address");
             }
         };
         // Goes on reading, so that the program never waits for its log to be read.
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
-        Proxy { child, address }
+        Proxy { child, address, operators }
+    }
+
+    /// One call to the operators' address and all that comes back.
+    pub fn call(&self, line: &str) -> String {
+        let mut stream = self.operator();
+        stream.write_all(format!("{line}\n").as_bytes()).expect("written");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer and a close");
+        answer
+    }
+
+    /// The figures at this moment.
+    pub fn figures(&self) -> Value {
+        let answer = self.call("INFO");
+        let (figures, end) = answer.split_once('\n').expect("two lines");
+        assert_eq!(end, ".\n");
+        serde_json::from_str(figures).expect("JSON")
+    }
+
+    pub fn operator(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.operators.expect("an address for operators")).expect("accepted");
+        stream.set_read_timeout(Some(HANG)).expect("a time limit");
+        stream
     }
 
     /// A client proxy that knows these hosts.
--- a/proxy/tests/lifecycle.rs
+++ b/proxy/tests/lifecycle.rs
@@ -39,8 +39,9 @@
 fn a_bad_configuration_ends_the_start() {
     let good = config("127.0.0.1:9".parse().expect("an address"), settings());
     type Spoil = fn(&mut Value);
-    let cases: [(&str, Spoil); 9] = [
+    let cases: [(&str, Spoil); 10] = [
         ("listen", |c| c["listen"] = json!("here")),
+        ("admin_addr", |c| c["admin_addr"] = json!("9901")),
         ("discovery", |c| c["discovery"] = Value::Null),
         ("seed", |c| c["seed"] = json!("none")),
         ("limits.sockets", |c| c["limits"]["sockets"] = json!(8)),
@@ -58,6 +59,17 @@
         assert_eq!(output.status.code(), Some(2), "{field}: {said}");
         assert!(said.lines().count() == 1 && said.contains(field), "{field}: {said}");
     }
+    // An address that another one holds, as in a start beside a process that still runs.
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    for field in ["GW_LISTEN", "admin_addr"] {
+        let mut bad = good.clone();
+        let name = if field == "admin_addr" { field } else { "listen" };
+        bad[name] = json!(taken.local_addr().expect("bound").to_string());
+        let output = spawn(&bad).wait_with_output().expect("ends");
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(1), "{field}: {said}");
+        assert!(said.lines().count() == 1 && said.contains(field), "{field}: {said}");
+    }
     let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_martensill"))
         .env_remove("GW_CONFIG")
         .stderr(std::process::Stdio::piped())
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -232,6 +232,12 @@
         }
     }
 
+    /// The hosts that get nothing at present by this balancer's own choice, whatever the list says.
+    pub fn avoided(&self, now: Millis) -> impl Iterator<Item = HostId> {
+        let avoided = self.hosts.iter().filter(move |host| now < host.ejected_until);
+        avoided.filter(|host| host.entry.phase == Phase::Up).map(|host| host.entry.host)
+    }
+
     fn wake(&mut self, after: Millis, wake: Wake, out: &mut Vec<Action>) {
         self.next_token += 1;
         self.wakes.insert(self.next_token, wake);
