Take order servers out by hand and bring them back cold

The module has two new events: a host taken out counts as draining whatever the list says, one put back as just started. What operators said is in one file in $TMPDIR, replaced by rename under a lock, before the yes is given.

The test of a host that no list had named yet found that the module asked to close connections to it; it no longer does.

--- a/proxy/src/admin.rs
+++ b/proxy/src/admin.rs
@@ -38,20 +38,26 @@
 
 /// A call that was understood.
 #[derive(Debug, PartialEq)]
-enum Call {
+enum Call<'l> {
     Ping,
     Info,
+    Detach(&'l str),
+    Attach(&'l str),
 }
 
 /// Reads a call. Words are parted by blanks; the names of calls are in capitals.
-fn read_call(line: &[u8]) -> Result<Call, &'static str> {
+fn read_call(line: &[u8]) -> Result<Call<'_>, &'static str> {
     let line = std::str::from_utf8(line).map_err(|_| "the line is no text")?;
     let mut words = line.split_ascii_whitespace();
     let name = words.next().ok_or("the line is empty")?;
     let call = match name {
         "PING" => Call::Ping,
         "INFO" => Call::Info,
-        _ => return Err("no such call: PING or INFO"),
+        "DETACH" | "ATTACH" => {
+            let id = words.next().ok_or("the call needs the ID of an order server")?;
+            if name == "DETACH" { Call::Detach(id) } else { Call::Attach(id) }
+        }
+        _ => return Err("no such call: PING, INFO, DETACH ID or ATTACH ID"),
     };
     if words.next().is_some() { Err("too many words for this call") } else { Ok(call) }
 }
@@ -62,11 +68,20 @@
             Err(problem) => format!("-ERR {problem}\n"),
             Ok(Call::Ping) if *self.ready.borrow() => "+OK ready\n".to_owned(),
             Ok(Call::Ping) => "-ERR not ready\n".to_owned(),
+            Ok(Call::Detach(id)) => said(self.driver.detach(id), "out of use"),
+            Ok(Call::Attach(id)) => said(self.driver.attach(id), "in use"),
             Ok(Call::Info) => format!("{}\n.\n", self.driver.figures()),
         }
     }
 }
 
+fn said(done: Result<(), String>, what: &str) -> String {
+    match done {
+        Ok(()) => format!("+OK {what}\n"),
+        Err(problem) => format!("-ERR {problem}\n"),
+    }
+}
+
 /// Answers calls for as long as the program runs.
 pub async fn serve(listener: TcpListener, admin: Rc<Admin>) {
     let mut callers = JoinSet::new();
@@ -139,7 +154,20 @@
     fn calls_are_read_and_all_else_is_told_what_is_wrong() {
         assert_eq!(read_call(b"PING"), Ok(Call::Ping));
         assert_eq!(read_call(b" INFO \r"), Ok(Call::Info));
-        for bad in [&b""[..], b"\r", b"ping", b"PING PONG", b"INFO x", b"QUIT", b"\xff\xfe", b"\0"] {
+        assert_eq!(read_call(b"DETACH s-1"), Ok(Call::Detach("s-1")));
+        assert_eq!(read_call(b"ATTACH  s-1 "), Ok(Call::Attach("s-1")));
+        for bad in [
+            &b"DETACH"[..],
+            b"ATTACH a b",
+            b"",
+            b"\r",
+            b"ping",
+            b"PING PONG",
+            b"INFO x",
+            b"QUIT",
+            b"\xff\xfe",
+            b"\0",
+        ] {
             assert!(read_call(bad).is_err(), "{bad:?}");
         }
     }
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: lists and watches, turned into news for the decisions and places for the connections.
 
+use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -101,6 +102,34 @@
     1.0
 }
 
+/// The hosts' numbers by their names, for as long as the program runs.
+#[derive(Default)]
+pub struct Ids {
+    by_name: RefCell<HashMap<String, HostId>>,
+    taken: RefCell<HashSet<HostId>>,
+}
+
+impl Ids {
+    /// The number of a name that has come up before.
+    pub fn known(&self, name: &str) -> Option<HostId> {
+        self.by_name.borrow().get(name).copied()
+    }
+
+    /// The same number for a name at every client proxy and after every start, but for collisions.
+    pub fn of(&self, name: &str) -> HostId {
+        if let Some(id) = self.known(name) {
+            return id;
+        }
+        let fnv = |h: u32, byte: u8| (h ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+        let mut id = HostId(name.bytes().fold(0x811c_9dc5, fnv));
+        while !self.taken.borrow_mut().insert(id) {
+            id = HostId(id.0.wrapping_add(1));
+        }
+        self.by_name.borrow_mut().insert(name.to_owned(), id);
+        id
+    }
+}
+
 /// Keeps the list of hosts as discovery tells it.
 pub struct Discovery {
     /// Where it is; another address after each reload that names one.
@@ -109,8 +138,7 @@
     names: Names,
     hosts: Rc<Hosts>,
     driver: Rc<Driver>,
-    ids: HashMap<String, HostId>,
-    taken: HashSet<HostId>,
+    ids: Rc<Ids>,
     rng: Pcg32,
     /// The version of the list held; `None` asks for the whole.
     index: Option<u64>,
@@ -127,6 +155,7 @@
         names: Names,
         seed: u64,
         hosts: Rc<Hosts>,
+        ids: Rc<Ids>,
         driver: Rc<Driver>,
     ) -> Discovery {
         Discovery {
@@ -135,8 +164,7 @@
             names,
             hosts,
             driver,
-            ids: HashMap::new(),
-            taken: HashSet::new(),
+            ids,
             rng: Pcg32::seed_from_u64(seed),
             index: None,
             link: None,
@@ -152,6 +180,7 @@
 
     /// Follows the list for as long as the program runs, beginning with what was `known` before.
     pub async fn run(mut self, known: Option<Value>, mut asks: mpsc::UnboundedReceiver<Ask>) {
+        let mut heard = false;
         match known.map(serde_json::from_value::<List>) {
             Some(Ok(list)) => {
                 // Where lists are pushed the whole list is to be had for nothing, so no old version is built on.
@@ -165,14 +194,16 @@
                     });
                 }
                 self.driver.hear(HostNews::Persisted(entries));
+                heard = true;
             }
             Some(Err(error)) => eprintln!("martensill: known: not a list, so left out: {error}"),
             None => {}
         }
-        if self.known_nothing() {
+        if !heard {
             // The decisions begin with an event, also where nothing was known.
             self.driver.hear(HostNews::Persisted(Vec::new()));
         }
+        self.driver.follow_hand();
         match self.mode {
             Mode::Automatic => self.follow().await,
             Mode::Subscribe => loop {
@@ -187,10 +218,6 @@
         }
     }
 
-    fn known_nothing(&self) -> bool {
-        self.ids.is_empty()
-    }
-
     /// Lists that are pushed: goes on asking the agent, also through its silence.
     async fn follow(&mut self) {
         let mut pause = PAUSE;
@@ -282,7 +309,7 @@
     }
 
     /// Entries in the decisions' form; bad ones are skipped and logged.
-    fn read(&mut self, endpoints: Vec<Value>, whole: bool) -> Vec<HostEntry> {
+    fn read(&self, endpoints: Vec<Value>, whole: bool) -> Vec<HostEntry> {
         let given = endpoints.len();
         let mut entries = Vec::with_capacity(given);
         for value in endpoints {
@@ -303,14 +330,14 @@
         entries
     }
 
-    fn read_one(&mut self, value: Value) -> Result<HostEntry, String> {
+    fn read_one(&self, value: Value) -> Result<HostEntry, String> {
         let endpoint: Endpoint = serde_json::from_value(value).map_err(|error| error.to_string())?;
         if !endpoint.weight.is_finite() || endpoint.weight < 0.0 {
             return Err(format!("{}: weight {}", endpoint.name, endpoint.weight));
         }
         let address = endpoint.address.as_deref().map(str::parse::<SocketAddr>).transpose();
         let address = address.map_err(|_| format!("{}: its address is none", endpoint.name))?;
-        let host = self.id(&endpoint.name);
+        let host = self.ids.of(&endpoint.name);
         match (endpoint.status, address) {
             (Status::Deleted, _) => self.hosts.remove(host),
             (_, None) => return Err(format!("{}: no address", endpoint.name)),
@@ -335,20 +362,6 @@
             },
         })
     }
-
-    /// The same number for a name at every client proxy and after every start, but for collisions.
-    fn id(&mut self, name: &str) -> HostId {
-        if let Some(id) = self.ids.get(name) {
-            return *id;
-        }
-        let fnv = |h: u32, byte: u8| (h ^ u32::from(byte)).wrapping_mul(0x0100_0193);
-        let mut id = HostId(name.bytes().fold(0x811c_9dc5, fnv));
-        while !self.taken.insert(id) {
-            id = HostId(id.0.wrapping_add(1));
-        }
-        self.ids.insert(name.to_owned(), id);
-        id
-    }
 }
 
 type Link = SendRequest<Empty<Bytes>>;
--- /dev/null
+++ b/proxy/src/handover.rs
@@ -0,0 +1,180 @@
+//! What the next process of this client proxy has to know of this one: one small file in `$TMPDIR`, replaced whole
+//! by a rename. Two processes may use it at once while one takes over from the other.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, ErrorKind};
+use std::os::unix::fs::MetadataExt;
+use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// The form of the file. Another one is not read.
+const VERSION: u32 = 1;
+/// How often and after what pause a file that the other process is changing is tried again.
+const LOCK_TRIES: u32 = 20;
+const LOCK_PAUSE: Duration = Duration::from_millis(2);
+
+/// What the file holds.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct State {
+    version: u32,
+    /// Order servers that operators have taken out.
+    #[serde(default)]
+    pub out: BTreeSet<String>,
+    /// Those that were put back and may still be cold: when, in milliseconds since 1970.
+    #[serde(default)]
+    pub back: BTreeMap<String, f64>,
+    /// The list as discovery last told it, in the form that the configuration has it in.
+    #[serde(default)]
+    pub list: Option<Value>,
+}
+
+/// Which file it was that was read last: a rename puts another one there.
+type Print = (u64, i64, i64, u64);
+
+/// The file and what is known of it.
+pub struct Handover {
+    /// `None` where there is no `$TMPDIR`: then nothing outlives this process.
+    path: Option<PathBuf>,
+    state: RefCell<State>,
+    print: Cell<Option<Print>>,
+}
+
+impl Handover {
+    /// Reads what an earlier process has left in `dir`. A file that is no good is reported and counts as none.
+    pub fn open(dir: Option<PathBuf>, name: &str) -> Handover {
+        let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
+        let file = format!("martensill-{}.json", name.chars().map(plain).collect::<String>());
+        let path = dir.map(|dir| dir.join(file));
+        let handover = Handover { path, state: RefCell::default(), print: Cell::new(None) };
+        handover.news();
+        handover
+    }
+
+    /// What is known of it at present.
+    pub fn state(&self) -> State {
+        self.state.borrow().clone()
+    }
+
+    /// Reads the file again if it is another one than before; true if what it holds has changed.
+    pub fn news(&self) -> bool {
+        let print = self.path.as_deref().and_then(|path| fs::metadata(path).ok());
+        let print = print.map(|m| (m.ino(), m.mtime(), m.mtime_nsec(), m.len()));
+        if print == self.print.replace(print) {
+            return false;
+        }
+        match self.read() {
+            Ok(state) => self.state.replace(state.clone()) != state,
+            Err(error) if error.kind() == ErrorKind::NotFound => false,
+            Err(error) => {
+                eprintln!("martensill: what an earlier process left is not used: {error}");
+                false
+            }
+        }
+    }
+
+    fn read(&self) -> io::Result<State> {
+        let path = self.path.as_deref().ok_or(ErrorKind::NotFound)?;
+        let state: State = serde_json::from_slice(&fs::read(path)?)?;
+        if state.version == VERSION {
+            Ok(state)
+        } else {
+            Err(io::Error::other(format!("it is of version {}, not {VERSION}", state.version)))
+        }
+    }
+
+    /// Changes what the file holds, on top of what the other process may have written meanwhile.
+    ///
+    /// # Errors
+    /// As the system says; then nothing has changed.
+    pub fn change(&self, change: impl FnOnce(&mut State)) -> io::Result<()> {
+        let Some(path) = self.path.as_deref() else {
+            change(&mut self.state.borrow_mut());
+            return Ok(());
+        };
+        let lock = OpenOptions::new().create(true).append(true).open(path.with_extension("lock"))?;
+        hold(&lock)?;
+        let mut state = self.read().unwrap_or_else(|_| self.state());
+        state.version = VERSION;
+        change(&mut state);
+        let new = path.with_extension(format!("{}.new", std::process::id()));
+        fs::write(&new, serde_json::to_vec(&state)?)?;
+        fs::rename(&new, path)?;
+        self.state.replace(state);
+        Ok(())
+    }
+}
+
+/// Waits for the other process to be done with its change; the lock goes with the descriptor.
+fn hold(lock: &File) -> io::Result<()> {
+    for _ in 0..LOCK_TRIES {
+        if lock.try_lock().is_ok() {
+            return Ok(());
+        }
+        thread::sleep(LOCK_PAUSE);
+    }
+    Err(io::Error::other("another process holds it"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A folder of one test's own, empty.
+    fn folder(name: &str) -> PathBuf {
+        let dir = std::env::temp_dir().join(format!("martensill-{}-{name}", std::process::id()));
+        let _ = fs::remove_dir_all(&dir);
+        fs::create_dir_all(&dir).expect("a folder");
+        dir
+    }
+
+    /// Guards against two processes that undo each other's changes.
+    #[test]
+    fn both_processes_see_what_either_has_changed() {
+        let dir = folder("both");
+        let (old, new) = (Handover::open(Some(dir.clone()), "n/0"), Handover::open(Some(dir), "n/0"));
+        assert_eq!((old.news(), new.news()), (false, false));
+        old.change(|state| assert!(state.out.insert("s1".into()))).expect("written");
+        new.change(|state| assert!(state.out.insert("s2".into()))).expect("written");
+        assert!(old.news() && !old.news());
+        assert_eq!(old.state(), new.state());
+        assert_eq!(old.state().out.len(), 2);
+        old.change(|state| assert!(state.out.remove("s2"))).expect("written");
+        assert!(new.news());
+        assert_eq!(new.state().out, BTreeSet::from(["s1".to_owned()]));
+    }
+
+    /// Guards against a start that fails, or a call that is lost, over a file that is no good.
+    #[test]
+    fn a_file_that_is_no_good_counts_as_none_and_is_replaced() {
+        let dir = folder("spoilt");
+        let path = dir.join("martensill-n0.json");
+        for spoilt in
+            ["", "{\"version\":1,\"out\":[\"s1\"", "{\"version\":2,\"out\":[\"s1\"]}", "\u{0}", "[]"]
+        {
+            fs::write(&path, spoilt).expect("written");
+            let handover = Handover::open(Some(dir.clone()), "n0");
+            assert_eq!(handover.state(), State::default(), "{spoilt}");
+            handover.change(|state| assert!(state.out.insert("s3".into()))).expect("written");
+            let next = Handover::open(Some(dir.clone()), "n0");
+            assert_eq!(next.state().out, BTreeSet::from(["s3".to_owned()]), "{spoilt}");
+        }
+        fs::remove_file(&path).expect("removed");
+        fs::create_dir(&path).expect("no file at all");
+        let handover = Handover::open(Some(dir), "n0");
+        assert!(handover.change(|state| assert!(state.out.insert("s1".into()))).is_err());
+        assert_eq!(handover.state(), State::default(), "what could not be written has not happened");
+    }
+
+    #[test]
+    fn without_a_folder_changes_last_as_long_as_the_process() {
+        let handover = Handover::open(None, "n0");
+        handover.change(|state| assert!(state.out.insert("s1".into()))).expect("kept");
+        assert!(handover.state().out.contains("s1") && !handover.news());
+    }
+}
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -7,10 +7,13 @@
 mod config;
 mod discovery;
 mod driver;
+mod handover;
 mod hosts;
 mod sockets;
 
+use std::env;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,8 +28,9 @@
 use crate::admin::Admin;
 use crate::clients::Front;
 use crate::config::Config;
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, Ids};
 use crate::driver::Driver;
+use crate::handover::Handover;
 use crate::hosts::{Hosts, millis};
 use crate::sockets::Sockets;
 
@@ -65,8 +69,11 @@
     let sockets = Sockets::new(sockets, operators.as_ref().map_or(0, |_| admin::DESCRIPTORS));
     let hosts = Hosts::new(Rc::clone(&sockets), settings.limits.conn_idle, settings.limits.dial_timeout);
     let (wish, wishes) = mpsc::unbounded_channel();
-    let driver = Driver::new(settings.clone(), names.classes.clone(), seed, Rc::clone(&hosts), wish)
-        .map_err(|error| std::io::Error::other(error.to_string()))?;
+    let handover = Handover::open(env::var_os("TMPDIR").map(PathBuf::from), &name);
+    let (ids, classes) = (Rc::<Ids>::default(), names.classes.clone());
+    let driver =
+        Driver::new(settings.clone(), classes, seed, Rc::clone(&hosts), Rc::clone(&ids), handover, wish)
+            .map_err(|error| std::io::Error::other(error.to_string()))?;
     let moves = watch::Sender::new(discovery);
     let list = Discovery::new(
         moves.subscribe(),
@@ -74,6 +81,7 @@
         names.clone(),
         seed,
         Rc::clone(&hosts),
+        ids,
         Rc::clone(&driver),
     );
     let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -299,6 +299,9 @@
         .env_remove("GW_LISTEN")
         .env_remove("GW_DISCOVERY")
         .env_remove("GW_ADMIN_ADDR")
+        .env_remove("GW_INHERITED_FD")
+        // What one test leaves there is nothing to another.
+        .env_remove("TMPDIR")
         .stderr(Stdio::piped())
         .spawn()
         .expect("the program starts")
--- a/proxy/tests/operators.rs
+++ b/proxy/tests/operators.rs
@@ -87,3 +87,37 @@
         assert!(holder.read(&mut [0]).map_or(true, |read| read == 0), "an answer to nothing");
     }
 }
+
+/// Guards against new work for an order server that an operator has taken out, and against a yes to nothing.
+#[test]
+fn an_order_server_is_out_from_the_yes_until_it_is_put_back() {
+    let (one, two) = (Host::start(|_| served("one")), Host::start(|_| served("two")));
+    let (proxy, roster) = with_operators(&[&one, &two]);
+    for call in ["DETACH", "ATTACH", "DETACH nobody", "ATTACH nobody", "DETACH h0 h1"] {
+        assert!(proxy.call(call).starts_with("-ERR "), "{call}");
+    }
+    let mut client = proxy.client();
+    while client.ask(&look(3000)).body != b"two" {}
+    for _ in 0..2 {
+        assert_eq!(proxy.call("DETACH h1"), "+OK out of use\n");
+    }
+    assert_eq!(proxy.figures()["targets_disabled"], 1);
+    for list in [true, false] {
+        for _ in 0..20 {
+            assert_eq!(client.ask(&look(3000)).body, b"one");
+        }
+        // It is listed anew, whole or in part.
+        let entries = [endpoint("h0", one.address, "SERVING"), endpoint("h1", two.address, "SERVING")];
+        roster.tell(Value::from(entries.to_vec()), list);
+        roster.wait_until_known();
+    }
+    assert_eq!(proxy.call("ATTACH h1"), "+OK in use\n");
+    assert_eq!(proxy.figures()["targets_disabled"], 0);
+    while client.ask(&look(3000)).body != b"two" {}
+    // What was not out stays as it is.
+    assert_eq!(proxy.call("ATTACH h0"), "+OK in use\n");
+}
+
+fn served(body: &str) -> Act {
+    Act::Say(answer("200 OK", "", body))
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -493,6 +493,18 @@
         /// Whose client.
         id: RequestId,
     },
+    /// An operator takes a server out: it counts as draining until it is put back, whatever the list says.
+    TakenOut {
+        /// Which server.
+        host: HostId,
+    },
+    /// An operator puts a server back; its process may have been started anew since it was taken out.
+    PutBack {
+        /// Which server.
+        host: HostId,
+        /// When that was.
+        at: Millis,
+    },
     /// A timer asked for with [`Action::Timer`] has come due.
     Timer {
         /// The token given with it.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,7 +14,7 @@
     Action, AttemptEnd, Class, Contract, Discovery, Effect, Event, HostEntry, HostId, HostNews, KeyScope,
     Millis, NewRequest, Outcome, Phase, RequestId, Settings, SettingsError,
 };
-use crate::state::{Attempt, ClassStats, Host, Load, Request, Wake};
+use crate::state::{Attempt, ClassStats, Hand, Host, Load, Request, Wake};
 use crate::tools::{Least, Mean, hash, rendezvous, weighted};
 
 // ---- Constants --------------------------------------------------------------------------------------------
@@ -139,6 +139,8 @@
     now: Millis,
     hosts: Vec<Host>,
     index: BTreeMap<HostId, usize>,
+    /// What operators have said of hosts, also of those that no list has named yet.
+    by_hand: BTreeMap<HostId, Hand>,
     /// The design's groups: the hosts of one kind in one zone.
     groups: Vec<Vec<usize>>,
     requests: BTreeMap<RequestId, Request>,
@@ -185,6 +187,7 @@
             now: 0.0,
             hosts: Vec::new(),
             index: BTreeMap::new(),
+            by_hand: BTreeMap::new(),
             groups: vec![Vec::new(); (settings.kinds + 1) * settings.zones],
             requests: BTreeMap::new(),
             wakes: BTreeMap::new(),
@@ -227,15 +230,18 @@
             Event::FirstByte { id, attempt } => self.stream_began(id, attempt, out),
             Event::Finished(end) => self.attempt_ended(&end, out),
             Event::Gone { id } => self.request_over(id, out),
+            Event::TakenOut { host } => self.hand(host, Hand::Out, out),
+            Event::PutBack { host, at } => self.hand(host, Hand::Back(at), out),
             Event::Timer { token } => self.woken(token, out),
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
 
-    /// The hosts that get nothing at present by this balancer's own choice, whatever the list says.
+    /// The hosts that get nothing at present, by hand or by this balancer's own choice, whatever the list says.
     pub fn avoided(&self, now: Millis) -> impl Iterator<Item = HostId> {
-        let avoided = self.hosts.iter().filter(move |host| now < host.ejected_until);
-        avoided.filter(|host| host.entry.phase == Phase::Up).map(|host| host.entry.host)
+        let by_hand = |host: &Host| self.by_hand.get(&host.entry.host) == Some(&Hand::Out);
+        let chosen = move |host: &Host| host.entry.phase == Phase::Up && now < host.ejected_until;
+        self.hosts.iter().filter(move |host| by_hand(host) || chosen(host)).map(|host| host.entry.host)
     }
 
     fn wake(&mut self, after: Millis, wake: Wake, out: &mut Vec<Action>) {
@@ -946,14 +952,31 @@
         }
         if !changes {
             // Whoever is absent from a whole list is gone.
-            self.hosts.iter_mut().for_each(|host| host.entry.phase = Phase::Removed);
+            self.hosts.iter_mut().for_each(|host| {
+                (host.entry.phase, host.listed) = (Phase::Removed, Phase::Removed);
+            });
         }
         entries.into_iter().for_each(|entry| self.list(entry));
+        self.judge_list();
+    }
+
+    fn judge_list(&mut self) {
         self.regroup();
         self.judge_kinds();
         self.judge_hosts();
     }
 
+    /// What an operator says of a host, which stands until the operator says otherwise.
+    fn hand(&mut self, host: HostId, hand: Hand, out: &mut Vec<Action>) {
+        self.by_hand.insert(host, hand);
+        if let Some(&h) = self.index.get(&host) {
+            let known = &self.hosts[h];
+            self.list(HostEntry { phase: known.listed, ..known.entry.clone() });
+            self.judge_list();
+            out.push(Action::CloseIdle { host });
+        }
+    }
+
     /// The time that the fleet's calls to discovery need, each in its turn, beyond the first pause.
     fn turns(&self) -> Millis {
         let most = self.settings.contract.ask_within.map_or(f64::INFINITY, |within| within / 2.0);
@@ -967,6 +990,8 @@
         let place = rendezvous(0, u64::from(entry.host.0));
         let group = entry.kind * self.settings.zones + entry.zone;
         let fresh = Host::new(group, place, self.classes.len(), entry);
+        let hand = self.by_hand.get(&fresh.entry.host).copied();
+        let fresh = fresh.handled(hand);
         let Some(&h) = self.index.get(&fresh.entry.host) else {
             self.index.insert(fresh.entry.host, self.hosts.len());
             self.hosts.push(fresh);
@@ -974,7 +999,7 @@
         };
         let host = &mut self.hosts[h];
         if host.entry.started == fresh.entry.started {
-            host.entry = fresh.entry;
+            (host.entry, host.listed) = (fresh.entry, fresh.listed);
         } else {
             // A new process on the host: nothing learnt of the old one holds.
             let (inflight, dialling) = (host.inflight, host.dialling);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,10 +1,20 @@
 //! What the balancer remembers of hosts, requests, classes and load. Types only; nothing here decides anything.
 
-use crate::interface::{HostEntry, Millis, Outcome, RequestId};
+use crate::interface::{HostEntry, Millis, Outcome, Phase, RequestId};
 use crate::tools::Mean;
 
+/// What operators have last said of a host.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Hand {
+    Out,
+    /// And when.
+    Back(Millis),
+}
+
 pub(crate) struct Host {
     pub(crate) entry: HostEntry,
+    /// Its state by the list, where operators have it count as another one.
+    pub(crate) listed: Phase,
     /// Its place in the order from which balancers take their parts of the hosts.
     pub(crate) place: f64,
     /// Its group: the hosts of its kind and zone.
@@ -49,6 +59,7 @@
     /// A host of which nothing is known yet.
     pub(crate) fn new(group: usize, place: f64, classes: usize, entry: HostEntry) -> Host {
         Host {
+            listed: entry.phase,
             place,
             group,
             inflight: 0,
@@ -83,6 +94,18 @@
         self.busy.fade(rate);
     }
 
+    /// What operators have said stands above the list: out counts as draining, back as just started.
+    pub(crate) fn handled(mut self, hand: Option<Hand>) -> Host {
+        match hand {
+            Some(Hand::Out) if self.listed == Phase::Up => self.entry.phase = Phase::Draining,
+            Some(Hand::Back(at)) => {
+                self.entry.started = Some(self.entry.started.map_or(at, |started| started.max(at)));
+            }
+            _ => {}
+        }
+        self
+    }
+
     /// Nothing goes there for `pause`, doubled each time up to sixteenfold; then it is on probation.
     pub(crate) fn eject(&mut self, now: Millis, pause: Millis, answers: u32) {
         self.ejected_until = now + pause * f64::from(1 << self.ejections.min(4));
--- a/tests/four_rules.rs
+++ b/tests/four_rules.rs
@@ -195,6 +195,60 @@
     assert!(!rig.serve(60, 0, |_| 5.0).contains_key(&HostId(3)));
 }
 
+/// Guards against an operator's word undone by discovery: out is out until the operator says otherwise.
+#[test]
+fn a_host_taken_out_by_hand_gets_nothing_whatever_the_list_says() {
+    let mut rig = Rig::new(settings(), hosts(3));
+    let closed = rig.event(Event::TakenOut { host: HostId(2) });
+    assert!(closed.contains(&Action::CloseIdle { host: HostId(2) }), "{closed:?}");
+    assert_eq!(rig.balancer.avoided(rig.now).collect::<Vec<_>>(), [HostId(2)]);
+    let restarted = HostEntry { started: Some(rig.now), ..host(2) };
+    let draining = HostEntry { phase: Phase::Draining, ..host(2) };
+    for news in [
+        HostNews::Changes(vec![host(2)]),
+        HostNews::Changes(vec![draining]),
+        HostNews::Changes(vec![restarted]),
+        HostNews::Complete(hosts(1)),
+        HostNews::Complete(hosts(3)),
+        HostNews::Failed,
+    ] {
+        let said = format!("{news:?}");
+        rig.news(news);
+        assert!(!rig.serve(60, 0, |_| 5.0).contains_key(&HostId(2)), "{said}");
+    }
+    // Twice out needs one word back.
+    rig.event(Event::TakenOut { host: HostId(2) });
+    rig.event(Event::PutBack { host: HostId(2), at: rig.now });
+    assert_eq!(rig.balancer.avoided(rig.now).count(), 0);
+    assert!(rig.serve(60, 0, |_| 5.0).contains_key(&HostId(2)), "back in use");
+}
+
+/// Guards against a host put back before the list has named it, as at the start of a process.
+#[test]
+fn what_operators_said_of_a_host_holds_before_a_list_names_it() {
+    let mut rig = Rig::new(settings(), hosts(2));
+    rig.event(Event::TakenOut { host: HostId(9) });
+    rig.news(HostNews::Changes(vec![host(9)]));
+    assert!(!rig.serve(60, 0, |_| 5.0).contains_key(&HostId(9)));
+}
+
+/// Guards against a cold host pushed over: operators restart what they take out, and the list says so late.
+#[test]
+fn a_host_put_back_by_hand_is_cold() {
+    let mut rig = Rig::new(settings(), hosts(4));
+    rig.serve(400, 0, |_| 20.0);
+    rig.event(Event::TakenOut { host: HostId(2) });
+    rig.pass(3000.0);
+    let back = rig.now;
+    rig.event(Event::PutBack { host: HostId(2), at: back });
+    // Lists that know nothing of a restart, or of one before, do not make it warm.
+    rig.news(HostNews::Complete(hosts(4)));
+    rig.news(HostNews::Changes(vec![HostEntry { started: Some(back - 2500.0), ..host(2) }]));
+    let served = rig.serve(400, 0, |_| 20.0);
+    let of = |id| f64::from(served.get(&HostId(id)).copied().unwrap_or(0) as u32);
+    assert!(of(2) > 0.0 && of(2) < 0.7 * of(1), "{served:?}");
+}
+
 /// Guards against a cold host pushed over: within every window it gets no more than the ramped part of what
 /// a warm one gets, however few the others are.
 #[test]
