Take over the inherited listening socket and leave it to the next process

The budget of sockets is shared while two processes are named in the file, and each looks there five times a second. One `unsafe` adopts the descriptor: listenfd, the crate for this, reads systemd's variables only.

--- a/proxy/src/clients.rs
+++ b/proxy/src/clients.rs
@@ -105,6 +105,10 @@
     pub sockets: Rc<Sockets>,
     /// Whose idle connections make room for clients.
     pub hosts: Rc<Hosts>,
+    /// The listening socket is not ours alone: what waits there is taken in by another process if not by this one.
+    pub shared: bool,
+    /// This process ends soon and another one takes clients in.
+    pub leaving: CancellationToken,
 }
 
 /// Takes in connections until `closing`, then lets each end as it goes idle and waits for all to end.
@@ -114,14 +118,20 @@
         let stream = Watched::new(stream, slot);
         connections.spawn_local(connection(stream, Rc::clone(&front), closing.clone()));
     };
+    let stop = if front.shared { &front.leaving } else { &closing };
+    let mut ready = front.ready.clone();
     loop {
         let next = async {
+            if front.shared {
+                // Guards against requests refused by a process that is just starting, beside one that would serve.
+                let _ = ready.wait_for(|ready| *ready).await;
+            }
             let slot = room(&front).await;
             (listener.accept().await, slot)
         };
         tokio::select! {
             biased;
-            _ = closing.cancelled() => break,
+            _ = stop.cancelled() => break,
             (accepted, slot) = next => match accepted {
                 Ok((stream, _)) => take_in(stream, slot),
                 // Guards against spinning where the system is out of descriptors or a client left at once.
@@ -130,7 +140,9 @@
         }
     }
     // Guards against a request lost in the queue of connections that the system has accepted already.
-    while let Some(slot) = front.sockets.place(Side::Client) {
+    while !front.shared
+        && let Some(slot) = front.sockets.place(Side::Client)
+    {
         let waiting = std::future::poll_fn(|cx| std::task::Poll::Ready(listener.poll_accept(cx))).await;
         let std::task::Poll::Ready(Ok((stream, _))) = waiting else { break };
         take_in(stream, slot);
@@ -157,7 +169,14 @@
 async fn connection(stream: Rc<Watched>, front: Rc<Front>, closing: CancellationToken) {
     let service = service_fn(|request| {
         let front = Rc::clone(&front);
-        async move { Ok::<_, Infallible>(respond(request, &front).await) }
+        async move {
+            let mut response = respond(request, &front).await;
+            if front.leaving.is_cancelled() && front.shared {
+                // Asks the client to come back on a new connection, which the next process takes in.
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN).max_buf_size(READ_AHEAD);
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: lists and watches, turned into news for the decisions and places for the connections.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +16,7 @@
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::{Value, json};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -25,6 +25,7 @@
 
 use crate::config::Names;
 use crate::driver::{Ask, Driver};
+use crate::handover::Handover;
 use crate::hosts::{Hosts, Place};
 
 /// How long a watch waits where lists are pushed. Short: an agent answers at no cost, and its silence shows soon.
@@ -139,6 +140,10 @@
     hosts: Rc<Hosts>,
     driver: Rc<Driver>,
     ids: Rc<Ids>,
+    /// Where the list is handed on to the next process, if there is to be one.
+    handover: Option<Rc<Handover>>,
+    /// The list as it is handed on: each entry as discovery wrote it.
+    listed: RefCell<BTreeMap<String, Value>>,
     rng: Pcg32,
     /// The version of the list held; `None` asks for the whole.
     index: Option<u64>,
@@ -155,16 +160,18 @@
         names: Names,
         seed: u64,
         hosts: Rc<Hosts>,
-        ids: Rc<Ids>,
         driver: Rc<Driver>,
+        handover: Option<Rc<Handover>>,
     ) -> Discovery {
         Discovery {
             address,
             mode,
             names,
             hosts,
+            ids: driver.ids(),
             driver,
-            ids,
+            handover,
+            listed: RefCell::default(),
             rng: Pcg32::seed_from_u64(seed),
             index: None,
             link: None,
@@ -284,6 +291,7 @@
             return Err(CallError::Entries);
         }
         self.index = Some(list.index);
+        self.hand_on(list.index);
         if list.snapshot {
             self.driver.hear(HostNews::Complete(entries));
         } else if !empty || self.mode == Mode::Subscribe {
@@ -296,6 +304,18 @@
         Ok(())
     }
 
+    /// Leaves the list for the next process. One that cannot be written is only missed if there is a next process.
+    fn hand_on(&self, index: u64) {
+        let Some(handover) = &self.handover else { return };
+        let endpoints: Vec<Value> = self.listed.borrow().values().cloned().collect();
+        let list = json!({"index": index, "snapshot": true, "endpoints": endpoints});
+        if handover.state().list.as_ref() != Some(&list)
+            && let Err(error) = handover.change(|state| state.list = Some(list))
+        {
+            eprintln!("martensill: the list is not handed on: {error}");
+        }
+    }
+
     /// Says so once, however long it lasts.
     fn failed(&mut self, error: &CallError) {
         if !self.failing {
@@ -312,14 +332,22 @@
     fn read(&self, endpoints: Vec<Value>, whole: bool) -> Vec<HostEntry> {
         let given = endpoints.len();
         let mut entries = Vec::with_capacity(given);
+        let mut listed = BTreeMap::new();
         for value in endpoints {
+            let written = self.handover.as_ref().map(|_| value.clone());
             match self.read_one(value) {
-                Ok(entry) => entries.push(entry),
+                Ok((name, entry)) => {
+                    if let Some(written) = written {
+                        listed.insert(name, written);
+                    }
+                    entries.push(entry);
+                }
                 Err(problem) => eprintln!("martensill: discovery: an entry is left out: {problem}"),
             }
         }
         // Guards against a whole list that is no good: it says of no host that it is gone.
         if whole && (given == 0 || !entries.is_empty()) {
+            self.listed.borrow_mut().clear();
             let listed: HashSet<HostId> = entries.iter().map(|entry| entry.host).collect();
             self.hosts
                 .known()
@@ -327,10 +355,11 @@
                 .filter(|id| !listed.contains(id))
                 .for_each(|id| self.hosts.remove(id));
         }
+        self.listed.borrow_mut().extend(listed);
         entries
     }
 
-    fn read_one(&self, value: Value) -> Result<HostEntry, String> {
+    fn read_one(&self, value: Value) -> Result<(String, HostEntry), String> {
         let endpoint: Endpoint = serde_json::from_value(value).map_err(|error| error.to_string())?;
         if !endpoint.weight.is_finite() || endpoint.weight < 0.0 {
             return Err(format!("{}: weight {}", endpoint.name, endpoint.weight));
@@ -347,7 +376,7 @@
             }
         }
         let index = |names: &[String], name| names.iter().position(|n| n == name);
-        Ok(HostEntry {
+        let entry = HostEntry {
             host,
             // Out of range where the settings do not name it: the decisions have a place for those.
             zone: index(&self.names.zones, &endpoint.zone).unwrap_or(usize::MAX),
@@ -360,7 +389,8 @@
                 Status::Draining => Phase::Draining,
                 Status::Deleted => Phase::Removed,
             },
-        })
+        };
+        Ok((endpoint.name, entry))
     }
 }
 
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -124,7 +124,7 @@
     asks: mpsc::UnboundedSender<Ask>,
     ids: Rc<Ids>,
     /// What operators have said of hosts, for the next process too.
-    handover: Handover,
+    handover: Rc<Handover>,
     /// The part of it that the decisions were told.
     told: RefCell<State>,
     /// How long a host is cold at the most.
@@ -146,11 +146,10 @@
         classes: Vec<String>,
         seed: u64,
         hosts: Rc<Hosts>,
-        ids: Rc<Ids>,
-        handover: Handover,
+        handover: Rc<Handover>,
         asks: mpsc::UnboundedSender<Ask>,
     ) -> Result<Rc<Driver>, SettingsError> {
-        let (told, cold) = (RefCell::default(), settings.contract.cold);
+        let (ids, told, cold) = (Rc::default(), RefCell::default(), settings.contract.cold);
         let ended = RefCell::new(vec![Ended::default(); settings.classes.len()]);
         let balancer = Balancer::new(settings, seed)?;
         let state = Held { balancer, jobs: HashMap::new(), next_id: 0, queue: VecDeque::new() };
@@ -182,6 +181,11 @@
         })
     }
 
+    /// The numbers of all hosts that were ever named.
+    pub fn ids(&self) -> Rc<Ids> {
+        Rc::clone(&self.ids)
+    }
+
     /// Passes on news of the list of hosts.
     pub fn hear(self: &Rc<Self>, news: HostNews) {
         self.feed(Event::Hosts(news));
@@ -446,9 +450,8 @@
         .expect("all that is required");
         let hosts = Hosts::new(Sockets::new(1024, 0), 1000.0, 100.0);
         let (classes, asks) = (vec!["look".to_owned()], mpsc::unbounded_channel().0);
-        let handover = Handover::open(None, "n0");
-        Driver::new(read_settings(settings), classes, 1, hosts, Rc::default(), handover, asks)
-            .expect("usable")
+        let handover = Rc::new(Handover::open(None, "n0"));
+        Driver::new(read_settings(settings), classes, 1, hosts, handover, asks).expect("usable")
     }
 
     fn order() -> Order {
--- a/proxy/src/handover.rs
+++ b/proxy/src/handover.rs
@@ -6,7 +6,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, ErrorKind};
 use std::os::unix::fs::MetadataExt;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::thread;
 use std::time::Duration;
 
@@ -32,6 +32,9 @@
     /// The list as discovery last told it, in the form that the configuration has it in.
     #[serde(default)]
     pub list: Option<Value>,
+    /// The processes that use the file; some may have ended.
+    #[serde(default)]
+    processes: BTreeSet<u32>,
 }
 
 /// Which file it was that was read last: a rename puts another one there.
@@ -78,6 +81,31 @@
         }
     }
 
+    /// The list that is handed on, unless the one that was `known` before is newer.
+    pub fn newer_list(&self, known: Option<Value>) -> Option<Value> {
+        let index = |list: &Option<Value>| list.as_ref().and_then(|list| list.get("index")?.as_u64());
+        let left = self.state().list;
+        if index(&left) >= index(&known) { left.or(known) } else { known }
+    }
+
+    /// Enters this process among those that use the file.
+    ///
+    /// # Errors
+    /// As the system says.
+    pub fn sign_in(&self) -> io::Result<()> {
+        self.change(|state| {
+            state.processes.retain(|id| is_running(*id));
+            state.processes.insert(std::process::id());
+        })
+    }
+
+    /// How many processes use the file at present, this one included.
+    pub fn processes(&self) -> usize {
+        let this = std::process::id();
+        let state = self.state.borrow();
+        1 + state.processes.iter().filter(|id| **id != this && is_running(**id)).count()
+    }
+
     fn read(&self) -> io::Result<State> {
         let path = self.path.as_deref().ok_or(ErrorKind::NotFound)?;
         let state: State = serde_json::from_slice(&fs::read(path)?)?;
@@ -110,6 +138,10 @@
     }
 }
 
+fn is_running(process: u32) -> bool {
+    Path::new("/proc").join(process.to_string()).exists()
+}
+
 /// Waits for the other process to be done with its change; the lock goes with the descriptor.
 fn hold(lock: &File) -> io::Result<()> {
     for _ in 0..LOCK_TRIES {
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -1,5 +1,5 @@
 //! martensill: a client proxy on real sockets round the decisions of `marblebay`.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 #![warn(missing_docs)]
 
 mod admin;
@@ -9,6 +9,7 @@
 mod driver;
 mod handover;
 mod hosts;
+mod inherit;
 mod sockets;
 
 use std::env;
@@ -28,14 +29,17 @@
 use crate::admin::Admin;
 use crate::clients::Front;
 use crate::config::Config;
-use crate::discovery::{Discovery, Ids};
+use crate::discovery::Discovery;
 use crate::driver::Driver;
 use crate::handover::Handover;
 use crate::hosts::{Hosts, millis};
 use crate::sockets::Sockets;
 
-/// After SIGTERM new connections go on coming for up to 0.4 s; they are taken in for so long.
+/// After SIGTERM new connections go on coming for up to 0.4 s; they are taken in for so long. Where the next process
+/// takes them in, requests still come over those that are open.
 const STILL_TAKING: Duration = Duration::from_millis(500);
+/// How often two processes look at what the other has done. Calls by hand hold everywhere within a second.
+const KEEP_STEP_EVERY: Duration = Duration::from_millis(200);
 /// What had been taken is answered within the longest deadline; then this much is left for a slow client.
 const STILL_CLOSING: Duration = Duration::from_millis(100);
 
@@ -47,8 +51,13 @@
             return ExitCode::from(2);
         }
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ended = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run(config)));
+    // Before the runtime opens descriptors of its own.
+    let passed = env::var(inherit::VARIABLE).ok().filter(|text| !text.is_empty());
+    let passed = passed.map(|text| inherit::listener(&text, config.listen)).transpose();
+    let ended = passed.and_then(|passed| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        LocalSet::new().block_on(&runtime, run(config, passed))
+    });
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -58,22 +67,23 @@
     }
 }
 
-async fn run(config: Config) -> std::io::Result<()> {
+async fn run(config: Config, passed: Option<std::net::TcpListener>) -> std::io::Result<()> {
     let Config { name, listen, admin, discovery, seed, sockets, known, settings, names } = config;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let listener = bind("GW_LISTEN", listen)?;
+    let shared = passed.is_some();
+    let listener = passed.map_or_else(|| bind("GW_LISTEN", listen), TcpListener::from_std)?;
     let bound = listener.local_addr()?;
     let operators = admin.map(|address| bind("admin_addr", address)).transpose()?;
     let sockets = Sockets::new(sockets, operators.as_ref().map_or(0, |_| admin::DESCRIPTORS));
     let hosts = Hosts::new(Rc::clone(&sockets), settings.limits.conn_idle, settings.limits.dial_timeout);
     let (wish, wishes) = mpsc::unbounded_channel();
-    let handover = Handover::open(env::var_os("TMPDIR").map(PathBuf::from), &name);
-    let (ids, classes) = (Rc::<Ids>::default(), names.classes.clone());
-    let driver =
-        Driver::new(settings.clone(), classes, seed, Rc::clone(&hosts), Rc::clone(&ids), handover, wish)
-            .map_err(|error| std::io::Error::other(error.to_string()))?;
+    let handover = Rc::new(Handover::open(env::var_os("TMPDIR").map(PathBuf::from), &name));
+    let known = handover.newer_list(known);
+    let classes = names.classes.clone();
+    let driver = Driver::new(settings.clone(), classes, seed, hosts.clone(), handover.clone(), wish)
+        .map_err(|error| std::io::Error::other(error.to_string()))?;
     let moves = watch::Sender::new(discovery);
     let list = Discovery::new(
         moves.subscribe(),
@@ -81,8 +91,9 @@
         names.clone(),
         seed,
         Rc::clone(&hosts),
-        ids,
         Rc::clone(&driver),
+        // Nobody takes over where the socket is our own.
+        Some(Rc::clone(&handover)).filter(|_| shared),
     );
     let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
     if let Some(operators) = operators {
@@ -90,10 +101,23 @@
         let admin = Admin { driver: Rc::clone(&driver), ready: list.ready() };
         spawn_local(admin::serve(operators, Rc::new(admin)));
     }
-    let front = Front { driver, settings, names, ready: list.ready(), sockets, hosts: Rc::clone(&hosts) };
+    if shared {
+        handover.sign_in()?;
+        spawn_local(keep_step(handover, Rc::clone(&driver), Rc::clone(&sockets), Rc::clone(&hosts)));
+    }
+    let (leaving, closing) = (CancellationToken::new(), CancellationToken::new());
+    let front = Front {
+        driver,
+        settings,
+        names,
+        ready: list.ready(),
+        sockets,
+        hosts: Rc::clone(&hosts),
+        shared,
+        leaving: leaving.clone(),
+    };
     spawn_local(hosts.sweep());
     spawn_local(list.run(known, wishes));
-    let closing = CancellationToken::new();
     let mut serving = spawn_local(clients::serve(listener, Rc::new(front), closing.clone()));
     eprintln!("martensill: {name} listens on {bound}");
     loop {
@@ -111,6 +135,7 @@
             ended = &mut serving => return ended.map_err(std::io::Error::other),
         }
     }
+    leaving.cancel();
     sleep(STILL_TAKING).await;
     closing.cancel();
     if timeout(millis(longest) + STILL_CLOSING, serving).await.is_err() {
@@ -119,6 +144,21 @@
     Ok(())
 }
 
+/// While another process may take over, or be taken over from: follows what operators say to it, and leaves it its
+/// part of the limits.
+async fn keep_step(handover: Rc<Handover>, driver: Rc<Driver>, sockets: Rc<Sockets>, hosts: Rc<Hosts>) {
+    loop {
+        if handover.news() {
+            driver.follow_hand();
+        }
+        sockets.share(handover.processes());
+        while sockets.is_over() && hosts.give_up_one() {
+            tokio::task::yield_now().await;
+        }
+        sleep(KEEP_STEP_EVERY).await;
+    }
+}
+
 /// Listens on the address that `field` names.
 fn bind(field: &str, address: SocketAddr) -> std::io::Result<TcpListener> {
     clients::listen(address)
--- a/proxy/src/sockets.rs
+++ b/proxy/src/sockets.rs
@@ -17,6 +17,8 @@
 
 /// Descriptors for standard streams, the listener, the runtime, signals and discovery.
 const OWN: usize = 24;
+/// However small the part: room for a few requests.
+const LEAST: usize = 8;
 /// Neither clients nor hosts get more than this part: a request needs a place on both sides.
 const SIDE_PART: (usize, usize) = (3, 4);
 
@@ -31,7 +33,9 @@
 
 /// How many sockets may be open, shared by clients and hosts.
 pub struct Sockets {
-    most: usize,
+    limit: usize,
+    apart: usize,
+    most: Cell<usize>,
     used: [Cell<usize>; 2],
     freed: Notify,
 }
@@ -39,26 +43,38 @@
 impl Sockets {
     /// A budget below `limit` descriptors, of which `apart` are for other uses.
     pub fn new(limit: usize, apart: usize) -> Rc<Sockets> {
-        Rc::new(Sockets {
-            most: limit.saturating_sub(OWN + apart),
-            used: Default::default(),
-            freed: Notify::new(),
-        })
+        let (apart, most) = (OWN + apart, Cell::new(0));
+        let sockets = Sockets { limit, apart, most, used: Default::default(), freed: Notify::new() };
+        sockets.share(1);
+        Rc::new(sockets)
     }
 
     /// A place for one more connection, if there is one for that side.
     pub fn place(self: &Rc<Self>, side: Side) -> Option<Slot> {
         let used = &self.used[side as usize];
-        if self.is_full() || used.get() >= self.most * SIDE_PART.0 / SIDE_PART.1 {
+        if self.is_full() || used.get() >= self.most.get() * SIDE_PART.0 / SIDE_PART.1 {
             return None;
         }
         used.set(used.get() + 1);
         Some(Slot { sockets: Rc::clone(self), side })
     }
 
+    /// Keeps within the part of the limit that one of so many processes has.
+    pub fn share(&self, processes: usize) {
+        let part = (self.limit / processes.max(1)).saturating_sub(self.apart).max(LEAST);
+        if part > self.most.replace(part) {
+            self.freed.notify_one();
+        }
+    }
+
+    /// Whether more are open than the part of the limit allows.
+    pub fn is_over(&self) -> bool {
+        self.used[0].get() + self.used[1].get() > self.most.get()
+    }
+
     /// Whether there is no place for either side.
     pub fn is_full(&self) -> bool {
-        self.used[0].get() + self.used[1].get() >= self.most
+        self.used[0].get() + self.used[1].get() >= self.most.get()
     }
 
     /// Waits until a place has become free.
@@ -270,4 +286,21 @@
         drop(clients);
         assert!(sockets.place(Side::Client).is_some() && !sockets.is_full());
     }
+
+    /// Guards against two processes that together go over the limit while one takes over from the other.
+    #[test]
+    fn two_processes_share_the_limit() {
+        let sockets = Sockets::new(2 * (OWN + 1 + 12), 1);
+        let held: Vec<Slot> = (0..20).filter_map(|_| sockets.place(Side::Client)).collect();
+        assert_eq!(held.len(), 20);
+        sockets.share(2);
+        assert!(sockets.is_over() && sockets.place(Side::Host).is_none());
+        drop(held);
+        let held: Vec<Slot> = (0..40)
+            .filter_map(|n| sockets.place(if n % 2 == 0 { Side::Client } else { Side::Host }))
+            .collect();
+        assert_eq!(held.len(), 12);
+        sockets.share(1);
+        assert!(sockets.place(Side::Client).is_some());
+    }
 }
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -292,25 +292,73 @@
 
 /// Starts the program as the platform does, without waiting for anything.
 pub fn spawn(config: &Value) -> Child {
+    spawn_by(Command::new(env!("CARGO_BIN_EXE_martensill")), config, |command| command)
+}
+
+/// The same by another command, with what `more` adds to its environment.
+pub fn spawn_by(
+    mut command: Command,
+    config: &Value,
+    more: impl FnOnce(&mut Command) -> &mut Command,
+) -> Child {
     let path = write_config(&config.to_string());
-    Command::new(env!("CARGO_BIN_EXE_martensill"))
+    command
         .env("GW_CONFIG", &path)
         .env_remove("GW_NAME")
         .env_remove("GW_LISTEN")
         .env_remove("GW_DISCOVERY")
         .env_remove("GW_ADMIN_ADDR")
         .env_remove("GW_INHERITED_FD")
+        .env_remove("GW_INHERITED_FD")
         // What one test leaves there is nothing to another.
         .env_remove("TMPDIR")
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts")
+        .stderr(Stdio::piped());
+    more(&mut command).spawn().expect("the program starts")
+}
+
+/// What the platform holds for a client proxy over its upgrades: the clients' listening socket and a folder.
+pub struct Platform {
+    pub listener: TcpListener,
+    pub dir: PathBuf,
+}
+
+impl Platform {
+    pub fn new() -> Platform {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let port = listener.local_addr().expect("bound").port();
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{port}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        Platform { listener, dir }
+    }
+
+    pub fn start(&self, config: &Value) -> Proxy {
+        let passed = self.listener.try_clone().expect("a second handle");
+        Proxy::listening(spawn_with(passed.into(), "4", config, &self.dir))
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Starts the program with `passed` as its descriptor 4 and told to take over descriptor `named`.
+pub fn spawn_with(passed: std::os::fd::OwnedFd, named: &str, config: &Value, dir: &std::path::Path) -> Child {
+    let mut shell = Command::new("sh");
+    shell.args(["-c", "exec 4<&0 0</dev/null; exec \"$0\"", env!("CARGO_BIN_EXE_martensill")]);
+    spawn_by(shell, config, |command| {
+        command.stdin(Stdio::from(passed)).env("GW_INHERITED_FD", named).env("TMPDIR", dir)
+    })
 }
 
 impl Proxy {
     /// Starts and waits for the line that says where it listens.
     pub fn start(config: &Value) -> Proxy {
-        let mut child = spawn(config);
+        Proxy::listening(spawn(config))
+    }
+
+    fn listening(mut child: Child) -> Proxy {
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
         let mut operators = None;
