Pass long bodies on as they come and judge peers by progress

At fault: a body had 700 ms from its head, nothing beyond 64 KiB was taken in or passed on, and an idle connection's time ran on while a head came.

--- a/benchlink/src/link.rs
+++ b/benchlink/src/link.rs
@@ -200,6 +200,7 @@
                     update,
                     size_hint,
                     key: target_key,
+                    coming: false,
                 };
                 self.decide(now, proxy, Event::Request(request), reply)?;
             }
@@ -222,6 +223,7 @@
                         latency,
                         ended: terminal,
                         report: read_metrics(&metrics),
+                        spent: false,
                     };
                     self.decide(now, proxy, Event::Finished(end), reply)?;
                     self.up(proxy)?.forget_if_over(id);
--- a/proxy/src/clients.rs
+++ b/proxy/src/clients.rs
@@ -1,13 +1,14 @@
 //! Clients: the listener, `/ready`, requests in, and exactly one final answer out for each.
 
+use std::cell::Cell;
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -17,13 +18,15 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::bodies::{Long, Paced, Payload, Trouble, next_piece};
 use crate::config::Names;
-use crate::driver::{Answer, Driver, Facts};
-use crate::hosts::{BODY_MOST, Hosts, Order, REMAINING_MS, strip_hop_headers};
+use crate::driver::{Answer, Counted, Driver, Facts};
+use crate::hosts::{Answered, BUFFER, Broken, Hosts, Order, REMAINING_MS, Served, strip_hop_headers};
+use crate::memory::{Hold, Room};
 use crate::sockets::{Io, Side, Slot, Sockets, Watched};
 
 /// The decisions' time ends so long before the client's: for the way back, and for a timer that comes late.
@@ -32,15 +35,19 @@
 const LAST_MOMENT: Duration = Duration::from_millis(5);
 /// No client waits for longer than this.
 const REMAINING_MOST: u64 = 600_000;
-/// A connection on which no head has come whole for so long is closed. Peers are owed an end within 3 s, and one
-/// that is merely idle may be closed after 2 s; while it is open it holds a place that another client may need.
+/// A first request has to come within this of its connection: peers are owed an end within 3 s. A later head has so
+/// long from its first byte, and a connection on which none begins is closed after as long: it holds a place.
+const FIRST_WITHIN: Duration = Duration::from_millis(2_800);
 const HEAD_WITHIN: Duration = Duration::from_millis(2_200);
-/// How long after its head a body may take, whatever time the client says it has: both together stay below 3 s.
+/// How long after its head a body may take beyond what it needs at its pace; what a first request has left, if more.
 const BODY_WITHIN: Duration = Duration::from_millis(700);
-/// A client that takes nothing of its answer for so long is let go: no answer is of use to it any more.
+const LATER_BODY_WITHIN: Duration = Duration::from_millis(2_000);
+/// A client that takes nothing of its answer for so long is let go: no answer is of use to it any more. One that is
+/// given a long answer may rest for longer.
 const READ_BACK_WITHIN: Duration = Duration::from_millis(2_500);
-/// What is read ahead of a connection: a body and its head.
-const READ_AHEAD: usize = 128 * 1024;
+const READ_LONG_WITHIN: Duration = Duration::from_millis(5_000);
+/// How long what still comes is read after the last answer, so that the answer is not lost with it.
+const LINGER: Duration = Duration::from_millis(1_000);
 /// How soon after a request has come in it is looked for again at the end.
 const READ_WITHIN: Duration = Duration::from_millis(1);
 /// A pause of the accept loop where the system has no more descriptors.
@@ -71,19 +78,15 @@
     Path,
     #[error("the request is not HTTP/1.1")]
     Version,
-    #[error("the body is longer than 64 KiB")]
-    TooLong,
-    #[error("the body did not come whole in time")]
-    BodyLate,
-    #[error("the body broke off")]
-    BodyBroken,
+    #[error("{0}")]
+    Body(#[from] Trouble),
 }
 
 impl BadRequest {
     fn status(&self) -> StatusCode {
         match self {
-            BadRequest::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            BadRequest::BodyLate => StatusCode::REQUEST_TIMEOUT,
+            BadRequest::Body(Trouble::Late) => StatusCode::REQUEST_TIMEOUT,
+            BadRequest::Body(Trouble::Room) => StatusCode::SERVICE_UNAVAILABLE,
             BadRequest::Method => StatusCode::METHOD_NOT_ALLOWED,
             BadRequest::Version => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             _ => StatusCode::BAD_REQUEST,
@@ -103,6 +106,8 @@
     pub ready: watch::Receiver<bool>,
     /// The budget that client connections come out of.
     pub sockets: Rc<Sockets>,
+    /// For the bodies of requests.
+    pub room: Rc<Room>,
     /// Whose idle connections make room for clients.
     pub hosts: Rc<Hosts>,
     /// The listening socket is not ours alone: what waits there is taken in by another process if not by this one.
@@ -166,11 +171,140 @@
     }
 }
 
+/// What the watch over a connection goes by.
+struct Door {
+    stream: Rc<Watched>,
+    opened: Instant,
+    /// Requests that are being answered: one at the most.
+    busy: Cell<usize>,
+    /// Since when there is none.
+    idle: Cell<Option<Instant>>,
+    /// The answer goes on as it comes.
+    long: Cell<bool>,
+}
+
+impl Door {
+    /// Until when a head has to be there; that of a request which is being answered is far off.
+    fn due(&self) -> Instant {
+        match (self.busy.get(), self.idle.get()) {
+            (0, None) => self.opened + FIRST_WITHIN,
+            (0, Some(idle)) => self.stream.heard().unwrap_or(idle) + HEAD_WITHIN,
+            _ => Instant::now() + HEAD_WITHIN,
+        }
+    }
+
+    /// Waits until a head ought to have come and has not.
+    async fn overdue(&self) {
+        loop {
+            let due = self.due();
+            if due <= Instant::now() {
+                return;
+            }
+            sleep_until(due).await;
+        }
+    }
+
+    /// Waits until an answer has been left unread for too long.
+    async fn unread(&self) {
+        loop {
+            let most = if self.long.get() { READ_LONG_WITHIN } else { READ_BACK_WITHIN };
+            let waited = self.stream.stuck_since();
+            if waited >= most {
+                return;
+            }
+            sleep(most - waited).await;
+        }
+    }
+
+    /// Whether the first part of a head has come, and no more.
+    fn is_begun(&self) -> bool {
+        self.busy.get() == 0 && self.stream.heard().is_some()
+    }
+
+    fn enter(self: &Rc<Self>) -> Busy {
+        self.busy.set(self.busy.get() + 1);
+        Busy(Rc::clone(self))
+    }
+}
+
+/// A request that is being answered, until its answer has been handed to the writer.
+struct Busy(Rc<Door>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.set(self.0.busy.get() - 1);
+        self.0.idle.set(Some(Instant::now()));
+        self.0.stream.listen_anew();
+    }
+}
+
+/// The body of an answer to a client.
+struct Reply {
+    body: Answered,
+    counted: Option<Counted>,
+    _hold: Option<Hold>,
+    _busy: Option<Busy>,
+}
+
+impl Reply {
+    fn whole(body: impl Into<Bytes>) -> Reply {
+        Reply { body: Answered::Whole(body.into()), counted: None, _hold: None, _busy: None }
+    }
+}
+
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let data = match &mut self.body {
+            Answered::Whole(left) if left.is_empty() => None,
+            Answered::Whole(left) => Some(Ok(next_piece(left))),
+            Answered::Rest(rest) => ready!(rest.poll_data(cx)),
+        };
+        if let (Some(Err(broken)), Some(counted)) =
+            (&data, self.counted.take_if(|_| matches!(data, Some(Err(_)))))
+        {
+            eprintln!("martensill: an answer broke off: {broken}");
+            counted.broke();
+        }
+        Poll::Ready(data.map(|data| data.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.body {
+            Answered::Whole(left) => left.is_empty(),
+            Answered::Rest(rest) => rest.is_over(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.body {
+            Answered::Whole(left) => SizeHint::with_exact(left.len() as u64),
+            Answered::Rest(rest) => rest.size_hint(),
+        }
+    }
+}
+
 async fn connection(stream: Rc<Watched>, front: Rc<Front>, closing: CancellationToken) {
+    let opened = Instant::now();
+    let door = Rc::new(Door {
+        stream: Rc::clone(&stream),
+        opened,
+        busy: Cell::new(0),
+        idle: Cell::new(None),
+        long: Cell::new(false),
+    });
     let service = service_fn(|request| {
-        let front = Rc::clone(&front);
+        let (front, door) = (Rc::clone(&front), Rc::clone(&door));
         async move {
-            let mut response = respond(request, &front).await;
+            let busy = door.enter();
+            let mut response = respond(request, &front, &door).await;
+            door.long.set(matches!(response.body().body, Answered::Rest(_)));
+            response.body_mut()._busy = Some(busy);
             if front.leaving.is_cancelled() && front.shared {
                 // Asks the client to come back on a new connection, which the next process takes in.
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -179,45 +313,55 @@
         }
     });
     let mut builder = Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN).max_buf_size(READ_AHEAD);
+    builder.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(BUFFER);
     let mut served = pin!(builder.serve_connection(TokioIo::new(Io(Rc::clone(&stream))), service));
     // A client that breaks off, or whose words are no HTTP (answered 400), ends its connection and no more; so does
     // one that leaves its answers unread.
-    tokio::select! {
+    let ended = tokio::select! {
         biased;
-        _ = served.as_mut() => return,
-        _ = stream.stuck_for(READ_BACK_WITHIN) => return,
-        _ = closing.cancelled() => {}
-    }
-    // Guards against closing over a request that has come in but was not read yet: an idle connection is closed
-    // at once, and what it still held would be lost.
-    while !stream.is_quiet() {
+        _ = served.as_mut() => true,
+        _ = door.unread() => return,
+        _ = door.overdue() => return,
+        _ = closing.cancelled() => false,
+    };
+    if !ended {
+        // Guards against closing over a request that has come in but was not read yet, or not to its end: an idle
+        // connection is closed at once, and what it still held would be lost.
+        while !stream.is_quiet() || door.is_begun() {
+            tokio::select! {
+                biased;
+                _ = served.as_mut() => return,
+                _ = door.overdue() => return,
+                _ = sleep(READ_WITHIN) => {}
+            }
+        }
+        served.as_mut().graceful_shutdown();
         tokio::select! {
             biased;
-            _ = served.as_mut() => return,
-            _ = sleep(READ_WITHIN) => {}
+            _ = served.as_mut() => {}
+            _ = door.unread() => return,
         }
     }
-    served.as_mut().graceful_shutdown();
-    let _ = served.await;
+    // Guards against an answer lost with the rest of a request that it did not wait for.
+    stream.drain(LINGER).await;
 }
 
-async fn respond(request: Request<Incoming>, front: &Front) -> Response<Full<Bytes>> {
+async fn respond(request: Request<Incoming>, front: &Front, door: &Door) -> Response<Reply> {
     let came = Instant::now();
     if request.uri().path() == "/ready" && request.method() == Method::GET {
         let ready = *front.ready.borrow();
         return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
     }
-    match take_in(request, front, came).await {
-        Ok((facts, order, deadline)) => {
-            let patience = deadline - came;
-            let ours = deadline - MARGIN.min(patience / 10);
-            let last = deadline - LAST_MOMENT.min(patience / 20);
-            write_answer(front.driver.take(facts, order, ours).answer(last).await)
-        }
+    // The time of a first request counts from its connection.
+    let grace = match door.idle.get() {
+        None => (door.opened + FIRST_WITHIN).saturating_duration_since(came).max(BODY_WITHIN),
+        Some(_) => LATER_BODY_WITHIN,
+    };
+    match take_in(request, front, came, grace).await {
+        Ok(response) => response,
         Err(bad) => {
             let mut response = plain(bad.status());
-            *response.body_mut() = format!("{bad}\n").into();
+            response.body_mut().body = Answered::Whole(format!("{bad}\n").into());
             // Guards against what follows being read as a request of its own, which no client meant as one.
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             response
@@ -225,17 +369,17 @@
     }
 }
 
-fn plain(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+fn plain(status: StatusCode) -> Response<Reply> {
+    let mut response = Response::new(Reply::whole(Bytes::new()));
     *response.status_mut() = status;
     response
 }
 
-fn write_answer(answer: Answer) -> Response<Full<Bytes>> {
+fn write_answer((answer, counted): (Answer, Option<Counted>)) -> Response<Reply> {
     match answer {
-        Answer::Served(served) => {
-            let mut response = Response::new(Full::new(served.body));
-            if let Some(kind) = served.content_type {
+        Answer::Served(Served { body, content_type, hold }) => {
+            let mut response = Response::new(Reply { body, counted, _hold: hold, _busy: None });
+            if let Some(kind) = content_type {
                 response.headers_mut().insert(CONTENT_TYPE, kind);
             }
             response
@@ -252,30 +396,37 @@
     }
 }
 
-/// Reads a request whole and checks it; with it comes the time at which its client stops waiting.
+/// Reads a request and checks it, and has it answered.
 async fn take_in(
     request: Request<Incoming>,
     front: &Front,
     came: Instant,
-) -> Result<(Facts, Order, Instant), BadRequest> {
+    grace: Duration,
+) -> Result<Response<Reply>, BadRequest> {
     let (head, body) = request.into_parts();
     if head.version != Version::HTTP_11 {
         return Err(BadRequest::Version);
     }
     let facts = read_facts(&head.method, head.uri.path(), &head.headers, front)?;
-    let deadline = came + read_remaining(&head.headers)?;
-    // Guards against a body that says at once that it is too long.
-    if body.size_hint().lower() > BODY_MOST as u64 {
-        return Err(BadRequest::TooLong);
-    }
-    let body = timeout_at(deadline.min(came + BODY_WITHIN), Limited::new(body, BODY_MOST).collect()).await;
-    let body = body.map_err(|_| BadRequest::BodyLate)?.map_err(|error| {
-        if error.is::<LengthLimitError>() { BadRequest::TooLong } else { BadRequest::BodyBroken }
-    })?;
+    let patience = read_remaining(&head.headers)?;
+    let length = body.size_hint().exact();
+    let mut body = Paced::new(body, grace);
+    let (first, hold, all) = body.first(&front.room).await?;
+    let (came, _hold, body) = match all {
+        // A client's time counts from the last byte of its request.
+        true if length == Some(0) => (came, hold, Payload::Whole(first)),
+        true => (Instant::now(), hold, Payload::Whole(first)),
+        false => {
+            let room = timeout(patience, front.room.long()).await.ok().flatten().ok_or(Trouble::Room)?;
+            (came, None, Payload::Long(Box::new(Long::new((first, hold), body, length, room))))
+        }
+    };
     let mut headers = head.headers;
     strip_hop_headers(&mut headers);
-    let order = Order { method: head.method, uri: origin_form(head.uri), headers, body: body.to_bytes() };
-    Ok((facts, order, deadline))
+    let (ours, slack) = (MARGIN.min(patience / 10), LAST_MOMENT.min(patience / 20));
+    let patience = patience - ours;
+    let order = Order { method: head.method, uri: origin_form(head.uri), headers, body, came, patience };
+    Ok(write_answer(front.driver.take(facts, order).answer(ours - slack).await?))
 }
 
 /// Path and query alone, also where a client names the whole address as it would to a forward proxy.
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -10,6 +10,8 @@
 
 /// What a process may hold where the configuration does not say.
 const SOCKETS: usize = 1024;
+/// And what memory, in MB: the least that a client proxy is given.
+const MEMORY_MB: usize = 32;
 /// Fewer descriptors than this leave no room for clients beside discovery and the process's own.
 const SOCKETS_LEAST: usize = 64;
 
@@ -54,6 +56,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
     /// The list of hosts as this client proxy last had it, in discovery's form; may be old.
     pub known: Option<serde_json::Value>,
     /// What the decisions work with.
@@ -100,6 +104,7 @@
 #[derive(Default, Deserialize)]
 struct FileLimits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 impl Config {
@@ -150,6 +155,10 @@
                 &format!("{sockets} are too few, {SOCKETS_LEAST} are needed"),
             ));
         }
+        let memory_mb = file.limits.memory_mb.unwrap_or(MEMORY_MB as f64);
+        if !(1.0..1e9).contains(&memory_mb) {
+            return Err(wrong("limits.memory_mb", &format!("{memory_mb} is no memory to work in")));
+        }
         // A seed in another form than the documented one must not pass for some fixed number.
         let seed = file.seed.ok_or_else(|| wrong("seed", "is missing"))?;
         let seed = u64::from_str_radix(&seed, 16).map_err(|_| wrong("seed", "is not hex digits"))?;
@@ -175,6 +184,7 @@
             discovery: address(given.discovery, file.discovery, "discovery")?,
             seed,
             sockets,
+            memory: (memory_mb * 1e6) as usize,
             known: file.known,
             settings,
             names,
--- a/proxy/src/hosts.rs
+++ b/proxy/src/hosts.rs
@@ -4,25 +4,35 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming, SizeHint};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use marblebay::{HostId, LoadReport, Outcome};
 use marblebay_benchlink::{Metrics, read_metrics};
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout_at};
 
+use crate::bodies::{Long, Outgoing, Payload, WHOLE_MOST, next_piece};
+use crate::memory::{Hold, Room};
 use crate::sockets::{Io, Side, Sockets, Watched};
 
-/// The most that a body may hold, in both directions.
-pub const BODY_MOST: usize = 64 * 1024;
+/// What a connection's buffer holds at most, in each direction.
+pub const BUFFER: usize = 16 * 1024;
+/// How long an answer of unknown length is looked at before its first bytes are passed on: most are short.
+const LOOK_FOR: Duration = Duration::from_millis(20);
+/// A host that takes or gives nothing for so long, where it has begun, has ended for us.
+const STALLED: Duration = Duration::from_secs(5);
 /// A host closes a connection that has been idle for the time in the settings; ours go by this part of it.
 const IDLE_PART: f64 = 0.8;
 /// How often idle connections are looked over.
@@ -42,15 +52,132 @@
     /// All that is meant for the host.
     pub headers: HeaderMap,
     /// Unchanged from the client.
-    pub body: Bytes,
+    pub body: Payload,
+    /// When its head, or all of a body that was read whole, had come.
+    pub came: Instant,
+    /// How long the client waits from its last byte on.
+    pub patience: Duration,
+}
+
+impl Order {
+    /// The body, if it goes on as it comes.
+    pub fn long(&self) -> Option<&Long> {
+        match &self.body {
+            Payload::Whole(_) => None,
+            Payload::Long(long) => Some(long),
+        }
+    }
+
+    /// When the client's time is up; not known while its body comes.
+    pub fn deadline(&self) -> Option<Instant> {
+        let came = self.long().map_or(Some(self.came), Long::came);
+        came.map(|came| came + self.patience)
+    }
+
+    /// Waits until the client's time is up. Never, if its body does not come whole.
+    pub async fn time_up(&self) {
+        if let Some(long) = self.long()
+            && long.settled().await.is_err()
+        {
+            return std::future::pending().await;
+        }
+        if let Some(deadline) = self.deadline() {
+            sleep_until(deadline).await;
+        }
+    }
+
+    fn is_spent(&self) -> bool {
+        self.long().is_some_and(Long::is_spent)
+    }
 }
 
 /// A host's 200.
 pub struct Served {
-    /// As the host sent it.
-    pub body: Bytes,
+    /// As the host sends it.
+    pub body: Answered,
     /// What it is, if the host said so.
     pub content_type: Option<HeaderValue>,
+    /// For its body.
+    pub hold: Option<Hold>,
+}
+
+/// The body of a host's answer.
+pub enum Answered {
+    /// All of it.
+    Whole(Bytes),
+    /// It goes on as it comes.
+    Rest(Box<Rest>),
+}
+
+/// An answer that is passed on as it comes.
+pub struct Rest {
+    first: Bytes,
+    body: Incoming,
+    /// Its connection, which may be used again once it has come whole.
+    conn: Option<Conn>,
+    home: (Rc<Hosts>, HostId, Place),
+    alarm: Pin<Box<Sleep>>,
+}
+
+/// An answer that did not come whole.
+#[derive(Debug, Error)]
+pub enum Broken {
+    /// As the connection has it.
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    /// Its host gives nothing more.
+    #[error("the rest of the answer did not come")]
+    Stalled,
+}
+
+impl Rest {
+    /// Whether all of it has been given.
+    pub fn is_over(&self) -> bool {
+        self.first.is_empty() && self.body.is_end_stream()
+    }
+
+    /// What is still to come.
+    pub fn size_hint(&self) -> SizeHint {
+        let rest = self.body.size_hint().exact();
+        rest.map_or_else(SizeHint::default, |rest| SizeHint::with_exact(rest + self.first.len() as u64))
+    }
+
+    /// The next part of it.
+    pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        if !self.first.is_empty() {
+            return Poll::Ready(Some(Ok(next_piece(&mut self.first))));
+        }
+        loop {
+            let Poll::Ready(polled) = Pin::new(&mut self.body).poll_frame(cx) else {
+                ready!(self.alarm.as_mut().poll(cx));
+                return Poll::Ready(Some(Err(Broken::Stalled)));
+            };
+            self.alarm.as_mut().reset(Instant::now() + STALLED);
+            match polled {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) if !data.is_empty() => {
+                        if self.body.is_end_stream() {
+                            self.done();
+                        }
+                        return Poll::Ready(Some(Ok(data)));
+                    }
+                    _ => {} // trailers are no part of it
+                },
+                Some(Err(error)) => return Poll::Ready(Some(Err(error.into()))),
+                None => {
+                    self.done();
+                    return Poll::Ready(None);
+                }
+            }
+        }
+    }
+
+    fn done(&mut self) {
+        if let Some(conn) = self.conn.take() {
+            let (hosts, host, place) = &self.home;
+            hosts.keep(*host, *place, conn);
+        }
+    }
 }
 
 /// How an attempt ended, and what came with it.
@@ -61,12 +188,16 @@
     pub report: LoadReport,
     /// The answer, exactly where the outcome is [`Outcome::Served`].
     pub served: Option<Served>,
+    /// The request's body cannot be sent again.
+    pub spent: bool,
+    /// How long the host had the request, where that is not since the attempt was begun.
+    pub took: Option<Duration>,
 }
 
 impl End {
     /// An end without an answer.
     pub fn bare(outcome: Outcome) -> End {
-        End { outcome, report: LoadReport::default(), served: None }
+        End { outcome, report: LoadReport::default(), served: None, spent: false, took: None }
     }
 }
 
@@ -83,7 +214,7 @@
 
 /// An open connection; closed when dropped.
 struct Conn {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     watched: Rc<Watched>,
     task: AbortHandle,
 }
@@ -112,17 +243,20 @@
     dial_most: Duration,
     /// Attempts whose last byte was written.
     written_whole: Rc<Cell<u64>>,
+    /// For answers.
+    room: Rc<Room>,
 }
 
 impl Hosts {
     /// No hosts yet. `conn_idle` is when hosts close what is idle, `dial_timeout` when a dial has failed.
-    pub fn new(sockets: Rc<Sockets>, conn_idle: f64, dial_timeout: f64) -> Rc<Hosts> {
+    pub fn new(sockets: Rc<Sockets>, room: Rc<Room>, conn_idle: f64, dial_timeout: f64) -> Rc<Hosts> {
         Rc::new(Hosts {
             sockets,
             table: RefCell::default(),
             idle_most: millis(conn_idle * IDLE_PART),
             dial_most: millis(dial_timeout),
             written_whole: Rc::default(),
+            room,
         })
     }
 
@@ -182,10 +316,14 @@
         }
     }
 
-    /// One attempt: at most one copy of the order is written to `host`. Gives up at `until`.
-    pub async fn attempt(&self, host: HostId, order: &Order, until: Instant) -> End {
-        let Some(place) = self.serving(host) else { return End::bare(Outcome::NeverSent) };
-        let mut conn = match self.connection(host, place, until).await {
+    /// One attempt: at most one copy of the order is written to `host`. Gives up when the client's time is up, or
+    /// at `until`.
+    pub async fn attempt(self: &Rc<Self>, host: HostId, order: &Rc<Order>, until: Option<Instant>) -> End {
+        let Some(place) = self.serving(host).filter(|_| !order.is_spent()) else {
+            return End { spent: order.is_spent(), ..End::bare(Outcome::NeverSent) };
+        };
+        let latest = until.into_iter().chain(order.deadline()).min();
+        let mut conn = match self.connection(host, place, latest).await {
             Ok(conn) => conn,
             Err(outcome) => return End::bare(outcome),
         };
@@ -193,18 +331,98 @@
         if self.serving(host) != Some(place) {
             return End::bare(Outcome::NeverSent);
         }
-        conn.watched.begin(&self.written_whole);
-        let exchanged = timeout_at(until, exchange(&mut conn.sender, order, until)).await;
-        let never = conn.watched.is_partial();
-        match exchanged {
-            Ok(Ok((response, body))) => {
-                self.keep(host, place, conn);
-                read_end(&response, body)
+        let watched = Rc::clone(&conn.watched);
+        watched.begin(&self.written_whole);
+        let up = async {
+            match until {
+                Some(until) => tokio::select! { _ = order.time_up() => {}, _ = sleep_until(until) => {} },
+                None => order.time_up().await,
+            }
+        };
+        let exchanged = tokio::select! {
+            biased;
+            exchanged = self.exchange(&mut conn, order, until) => Some(exchanged),
+            _ = up => None,
+            // Guards against a host that takes none of a body whose client has no deadline yet.
+            _ = watched.stuck_for(STALLED), if order.long().is_some() => None,
+        };
+        let never = watched.is_partial();
+        let mut end = match exchanged {
+            // An answer in the middle of the request: the rest of it is not sent, and it never ran if so it says.
+            Some(Ok((response, got))) => {
+                let end = match (read_outcome(&response), got) {
+                    (Outcome::Served, Got::Whole(body, hold)) => {
+                        self.keep(host, place, conn);
+                        served(&response, Answered::Whole(body), hold)
+                    }
+                    (Outcome::Served, Got::First(first, body, hold)) => {
+                        let home = (Rc::clone(self), host, place);
+                        let alarm = Box::pin(sleep(STALLED));
+                        let rest = Rest { first, body, conn: Some(conn), home, alarm };
+                        served(&response, Answered::Rest(Box::new(rest)), hold)
+                    }
+                    (outcome, Got::Whole(..)) => {
+                        self.keep(host, place, conn);
+                        End::bare(outcome)
+                    }
+                    (outcome, Got::First(..)) => End::bare(outcome),
+                };
+                let report = response.headers().get(&PRESSURE).and_then(|value| value.to_str().ok());
+                End { report: report.map(read_pressure).unwrap_or_default(), ..end }
             }
+            // The client's own doing says nothing of the host.
+            Some(Err(error)) if error.is_user() => End::bare(Outcome::NeverSent),
             // The last byte was not written, so no host can have begun.
-            Ok(Err(_)) | Err(_) if never => End::bare(Outcome::ConnectFailed),
-            Ok(Err(_)) => End::bare(Outcome::Reset),
-            Err(_) => End::bare(Outcome::TimedOut),
+            Some(Err(_)) | None if never => End::bare(Outcome::ConnectFailed),
+            Some(Err(_)) => End::bare(Outcome::Reset),
+            None => End::bare(Outcome::TimedOut),
+        };
+        if order.long().is_some() {
+            (end.spent, end.took) = (order.is_spent(), watched.whole().map(|whole| whole.elapsed()));
+        }
+        end
+    }
+
+    /// Writes the order and reads the answer, or what there is to begin with of one that is passed on as it comes.
+    async fn exchange(
+        &self,
+        conn: &mut Conn,
+        order: &Rc<Order>,
+        until: Option<Instant>,
+    ) -> Result<(Response<()>, Got), hyper::Error> {
+        let mut request = Request::new(Outgoing::new(Rc::clone(order), Rc::clone(&conn.watched)));
+        *request.method_mut() = order.method.clone();
+        *request.uri_mut() = order.uri.clone();
+        *request.headers_mut() = order.headers.clone();
+        let latest = until.into_iter().chain(order.deadline()).min();
+        let left = latest.map_or(order.patience, |latest| latest.saturating_duration_since(Instant::now()));
+        request.headers_mut().insert(&REMAINING_MS, HeaderValue::from(left.as_millis() as u64));
+        let (head, mut body) = conn.sender.send_request(request).await?.into_parts();
+        let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+        let short = length.filter(|length| *length <= WHOLE_MOST);
+        let hold = match short {
+            Some(length) => self.room.short(length).await,
+            None => self.room.long().await,
+        };
+        let soon = Instant::now() + if length.is_some() { Duration::ZERO } else { LOOK_FOR };
+        let mut first = BytesMut::with_capacity(short.unwrap_or(0));
+        loop {
+            let enough = short.is_none() && !first.is_empty();
+            let next = if enough { timeout_at(soon, body.frame()).await } else { Ok(body.frame().await) };
+            match next {
+                Ok(Some(frame)) => {
+                    if let Ok(data) = frame?.into_data() {
+                        first.extend_from_slice(&data);
+                    }
+                }
+                Ok(None) => return Ok((Response::from_parts(head, ()), Got::Whole(first.freeze(), hold))),
+                Err(_) => {
+                    return Ok((Response::from_parts(head, ()), Got::First(first.freeze(), body, hold)));
+                }
+            }
+            if short.is_none() && first.len() > BUFFER {
+                return Ok((Response::from_parts(head, ()), Got::First(first.freeze(), body, hold)));
+            }
         }
     }
 
@@ -213,7 +431,7 @@
     }
 
     /// An idle connection that is sound, or a new one.
-    async fn connection(&self, host: HostId, place: Place, until: Instant) -> Result<Conn, Outcome> {
+    async fn connection(&self, host: HostId, place: Place, until: Option<Instant>) -> Result<Conn, Outcome> {
         while let Some(mut idle) = self.pop(host) {
             let fresh = idle.since.elapsed() < self.idle_most;
             // Nothing was written to it yet: taking another one is no repeat.
@@ -229,12 +447,13 @@
                 None => return Err(Outcome::NeverSent),
             }
         };
-        let dialled =
-            timeout_at(until.min(Instant::now() + self.dial_most), TcpStream::connect(place.address));
+        let most = Instant::now() + self.dial_most;
+        let most = until.map_or(most, |until| until.min(most));
+        let dialled = timeout_at(most, TcpStream::connect(place.address));
         let Ok(Ok(stream)) = dialled.await else { return Err(Outcome::ConnectFailed) };
         let watched = Watched::new(stream, slot);
         let io = TokioIo::new(Io(Rc::clone(&watched)));
-        let made = Builder::new().handshake(io).await;
+        let made = Builder::new().max_buf_size(BUFFER).handshake(io).await;
         let (sender, connection) = made.map_err(|_| Outcome::ConnectFailed)?;
         // How the connection ends is seen by the attempt on it; an idle one has nobody to tell.
         let task = spawn_local(async move { drop(connection.await) }).abort_handle();
@@ -248,7 +467,8 @@
     fn keep(&self, host: HostId, place: Place, conn: Conn) {
         let mut table = self.table.borrow_mut();
         let upstream = table.get_mut(&host).filter(|upstream| upstream.place == place && place.serving);
-        if let Some(upstream) = upstream.filter(|_| !conn.sender.is_closed()) {
+        // Guards against a connection on which half a request was written.
+        if let Some(upstream) = upstream.filter(|_| !conn.sender.is_closed() && !conn.watched.is_partial()) {
             upstream.idle.push(Idle { conn, since: Instant::now() });
         }
     }
@@ -259,44 +479,25 @@
     Duration::from_secs_f64(ms.clamp(0.0, 86_400_000.0) / 1000.0)
 }
 
-/// Writes the order and reads the whole answer.
-async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>,
-    order: &Order,
-    until: Instant,
-) -> Result<(Response<()>, Result<Bytes, ()>), hyper::Error> {
-    let mut request = Request::new(Full::new(order.body.clone()));
-    *request.method_mut() = order.method.clone();
-    *request.uri_mut() = order.uri.clone();
-    *request.headers_mut() = order.headers.clone();
-    let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-    request.headers_mut().insert(&REMAINING_MS, HeaderValue::from(left));
-    let (head, body) = sender.send_request(request).await?.into_parts();
-    let body = match Limited::new(body, BODY_MOST).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) => match error.downcast::<hyper::Error>() {
-            Ok(broken) => return Err(*broken),
-            Err(_) => Err(()), // too long
-        },
-    };
-    Ok((Response::from_parts(head, ()), body))
+/// What was read of an answer.
+enum Got {
+    Whole(Bytes, Option<Hold>),
+    First(Bytes, Incoming, Option<Hold>),
 }
 
 /// The outcome by what came back. Only a turned-away answer proves that nothing ran.
-fn read_end(response: &Response<()>, body: Result<Bytes, ()>) -> End {
-    let headers = response.headers();
-    let turned_away = headers.get(&TURNED_AWAY).is_some_and(|value| value == "1");
-    let report = headers.get(&PRESSURE).and_then(|value| value.to_str().ok()).map(read_pressure);
-    let (outcome, served) = match (response.status(), body) {
-        (StatusCode::OK, Ok(body)) => {
-            (Outcome::Served, Some(Served { body, content_type: headers.get(CONTENT_TYPE).cloned() }))
-        }
-        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if turned_away => {
-            (Outcome::Rejected, None)
-        }
-        _ => (Outcome::Error, None),
-    };
-    End { outcome, report: report.unwrap_or_default(), served }
+fn read_outcome(response: &Response<()>) -> Outcome {
+    let turned_away = response.headers().get(&TURNED_AWAY).is_some_and(|value| value == "1");
+    match response.status() {
+        StatusCode::OK => Outcome::Served,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::Rejected,
+        _ => Outcome::Error,
+    }
+}
+
+fn served(response: &Response<()>, body: Answered, hold: Option<Hold>) -> End {
+    let content_type = response.headers().get(CONTENT_TYPE).cloned();
+    End { served: Some(Served { body, content_type, hold }), ..End::bare(Outcome::Served) }
 }
 
 /// A load report such as `inflight=7,queue=2,util=0.61`; what is unknown or no number is skipped.
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 mod admin;
+mod bodies;
 mod clients;
 mod config;
 mod discovery;
@@ -10,6 +11,7 @@
 mod handover;
 mod hosts;
 mod inherit;
+mod memory;
 mod sockets;
 
 use std::env;
@@ -33,6 +35,7 @@
 use crate::driver::Driver;
 use crate::handover::Handover;
 use crate::hosts::{Hosts, millis};
+use crate::memory::Room;
 use crate::sockets::Sockets;
 
 /// After SIGTERM new connections go on coming for up to 0.4 s; they are taken in for so long. Where the next process
@@ -68,7 +71,7 @@
 }
 
 async fn run(config: Config, passed: Option<std::net::TcpListener>) -> std::io::Result<()> {
-    let Config { name, listen, admin, discovery, seed, sockets, known, settings, names } = config;
+    let Config { name, listen, admin, discovery, seed, sockets, memory, known, settings, names } = config;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -77,7 +80,10 @@
     let bound = listener.local_addr()?;
     let operators = admin.map(|address| bind("admin_addr", address)).transpose()?;
     let sockets = Sockets::new(sockets, operators.as_ref().map_or(0, |_| admin::DESCRIPTORS));
-    let hosts = Hosts::new(Rc::clone(&sockets), settings.limits.conn_idle, settings.limits.dial_timeout);
+    let rooms = [(); 2].map(|()| Rc::new(Room::new(memory)));
+    let [requests, answers] = rooms.clone();
+    let hosts =
+        Hosts::new(Rc::clone(&sockets), answers, settings.limits.conn_idle, settings.limits.dial_timeout);
     let (wish, wishes) = mpsc::unbounded_channel();
     let handover = Rc::new(Handover::open(env::var_os("TMPDIR").map(PathBuf::from), &name));
     let known = handover.newer_list(known);
@@ -103,7 +109,7 @@
     }
     if shared {
         handover.sign_in()?;
-        spawn_local(keep_step(handover, Rc::clone(&driver), Rc::clone(&sockets), Rc::clone(&hosts)));
+        spawn_local(keep_step(handover, Rc::clone(&driver), Rc::clone(&sockets), rooms, Rc::clone(&hosts)));
     }
     let (leaving, closing) = (CancellationToken::new(), CancellationToken::new());
     let front = Front {
@@ -112,6 +118,7 @@
         names,
         ready: list.ready(),
         sockets,
+        room: requests,
         hosts: Rc::clone(&hosts),
         shared,
         leaving: leaving.clone(),
@@ -146,12 +153,20 @@
 
 /// While another process may take over, or be taken over from: follows what operators say to it, and leaves it its
 /// part of the limits.
-async fn keep_step(handover: Rc<Handover>, driver: Rc<Driver>, sockets: Rc<Sockets>, hosts: Rc<Hosts>) {
+async fn keep_step(
+    handover: Rc<Handover>,
+    driver: Rc<Driver>,
+    sockets: Rc<Sockets>,
+    rooms: [Rc<Room>; 2],
+    hosts: Rc<Hosts>,
+) {
     loop {
         if handover.news() {
             driver.follow_hand();
         }
-        sockets.share(handover.processes());
+        let processes = handover.processes();
+        sockets.share(processes);
+        rooms.iter().for_each(|room| room.share(processes));
         while sockets.is_over() && hosts.give_up_one() {
             tokio::task::yield_now().await;
         }
--- a/proxy/src/sockets.rs
+++ b/proxy/src/sockets.rs
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Descriptors for standard streams, the listener, the runtime, signals and discovery.
 const OWN: usize = 24;
@@ -102,8 +102,14 @@
     stream: TcpStream,
     written: Cell<u64>,
     unfinished: Cell<bool>,
+    /// All of the request has been handed over to be written.
+    given: Cell<bool>,
     /// Where a request is counted once it is written whole; taken out then.
     counts: Cell<Option<Rc<Cell<u64>>>>,
+    /// When it was.
+    whole: Cell<Option<Instant>>,
+    /// When the first byte came since this was last forgotten.
+    heard: Cell<Option<Instant>>,
     /// Since when the other side has taken none of what waits to be written.
     stuck: Cell<Option<Instant>>,
     _slot: Slot,
@@ -114,27 +120,70 @@
     pub fn new(stream: TcpStream, slot: Slot) -> Rc<Watched> {
         // Fails only where the connection is broken already, which the first use shows.
         let _ = stream.set_nodelay(true);
-        let (written, unfinished, counts, stuck) = Default::default();
-        Rc::new(Watched { stream, written, unfinished, counts, stuck, _slot: slot })
+        let (written, unfinished, given, counts) = Default::default();
+        let (whole, heard, stuck) = Default::default();
+        Rc::new(Watched { stream, written, unfinished, given, counts, whole, heard, stuck, _slot: slot })
     }
 
     /// Forgets what was written so far: a new request begins, to be counted in `whole` when all of it is written.
     pub fn begin(&self, whole: &Rc<Cell<u64>>) {
         self.counts.set(Some(Rc::clone(whole)));
+        self.given.set(false);
+        self.whole.set(None);
         self.written.set(0);
         self.unfinished.set(false);
     }
 
+    /// All of what was begun has been handed over to be written.
+    pub fn given_all(&self) {
+        self.given.set(true);
+    }
+
     /// Whether the last byte of what was begun is known not to have been written.
     pub fn is_partial(&self) -> bool {
-        self.written.get() == 0 || self.unfinished.get()
+        !self.given.get() || self.written.get() == 0 || self.unfinished.get()
+    }
+
+    /// When the last byte of it was written.
+    pub fn whole(&self) -> Option<Instant> {
+        self.whole.get()
+    }
+
+    /// When the first byte came since [`Watched::listen_anew`].
+    pub fn heard(&self) -> Option<Instant> {
+        self.heard.get()
+    }
+
+    /// What comes from now on is something new.
+    pub fn listen_anew(&self) {
+        self.heard.set(None);
+    }
+
+    /// Reads and drops what still comes, until the other side closes or for `long`. Guards against a close over what
+    /// was not read, which takes back what the other side has not read yet.
+    pub async fn drain(&self, long: Duration) {
+        let mut dropped = vec![0; 8 * 1024];
+        let drained = async {
+            while self.stream.readable().await.is_ok() {
+                match self.stream.try_read(&mut dropped) {
+                    Ok(0) => return,
+                    Err(error) if error.kind() != io::ErrorKind::WouldBlock => return,
+                    _ => {}
+                }
+            }
+        };
+        let _ = timeout(long, drained).await;
+    }
+
+    /// How long the other side has taken nothing of what is to be written to it.
+    pub fn stuck_since(&self) -> Duration {
+        self.stuck.get().map_or(Duration::ZERO, |since| since.elapsed())
     }
 
     /// Waits until the other side has taken nothing for `long` of what is to be written to it.
     pub async fn stuck_for(&self, long: Duration) {
         loop {
-            let since = self.stuck.get();
-            let waited = since.map_or(Duration::ZERO, |since| since.elapsed());
+            let waited = self.stuck_since();
             if waited >= long {
                 return;
             }
@@ -161,6 +210,9 @@
             ready!(self.0.stream.poll_read_ready(cx))?;
             match self.0.stream.try_read(buf.initialize_unfilled()) {
                 Ok(read) => {
+                    if self.0.heard.get().is_none() {
+                        self.0.heard.set(Some(Instant::now()));
+                    }
                     buf.advance(read);
                     return Poll::Ready(Ok(()));
                 }
@@ -201,6 +253,7 @@
             && let Some(whole) = self.0.counts.take()
         {
             whole.set(whole.get() + 1);
+            self.0.whole.set(Some(Instant::now()));
         }
         Poll::Ready(Ok(()))
     }
@@ -243,9 +296,12 @@
             assert!(watched.is_partial(), "nothing is written yet");
             let mut io = Io(Rc::clone(&watched));
             io.write_all(b"whole").await.expect("written");
+            assert!(watched.is_partial(), "more may be to come");
+            watched.given_all();
             assert!(!watched.is_partial());
             watched.begin(&Rc::default());
             assert!(watched.is_partial(), "a new request begins");
+            watched.given_all();
             // More than all buffers hold, to one who does not read: it stays unfinished.
             let much = vec![0; 64 << 20];
             let unfinished = std::future::poll_fn(|cx| {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -453,6 +453,8 @@
     pub size_hint: Option<f64>,
     /// Its subject.
     pub key: Option<String>,
+    /// Its body is still coming and goes on as it comes, so it may only be sent once. [`Event::Whole`] follows.
+    pub coming: bool,
 }
 
 /// The end of an attempt; every attempt has exactly one.
@@ -470,6 +472,8 @@
     pub ended: bool,
     /// What the server said of its load.
     pub report: LoadReport,
+    /// The request cannot be sent again: a part of its body that is kept nowhere was sent.
+    pub spent: bool,
 }
 
 /// Something that happened.
@@ -479,6 +483,13 @@
     Hosts(HostNews),
     /// A client handed over a request, which is now owed one final answer.
     Request(NewRequest),
+    /// The last byte of a request has come whose body was still coming.
+    Whole {
+        /// Whose.
+        id: RequestId,
+        /// How long the client waits from now on.
+        patience: Millis,
+    },
     /// The answer to an attempt of a streamed class has begun.
     FirstByte {
         /// Whose attempt.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -227,6 +227,7 @@
             Event::Hosts(news) => self.hear(news, out),
             Event::Request(request) if self.requests.contains_key(&request.id) => {} // taken already
             Event::Request(request) => self.arrive(&request, out),
+            Event::Whole { id, patience } => self.came_whole(id, patience),
             Event::FirstByte { id, attempt } => self.stream_began(id, attempt, out),
             Event::Finished(end) => self.attempt_ended(&end, out),
             Event::Gone { id } => self.request_over(id, out),
@@ -360,6 +361,7 @@
             && request.waits()
             && self.now < request.deadline
             && request.attempts.len() < limits.attempts as usize
+            && !request.spent
             // Rule 2: no second copy where forbidden, no second effect where a repeat would not be dropped.
             && (limits.second_copies || request.open_attempts() == 0)
             && !request.attempts.iter().any(|a| a.host == h && (a.open || a.may_have_run))
@@ -396,15 +398,17 @@
             return false;
         }
         let (work, charge) = (self.usual(request.class, request.size), self.charge(request));
+        // While its body comes no host works on it.
+        let open = if request.coming { 0.0 } else { work };
         let host = &mut self.hosts[h];
         let dialled = host.takes_on(self.settings.limits.streams);
-        self.load.open_work += work;
+        self.load.open_work += open;
         host.sent += work;
         host.cold_budget -= charge;
         if host.probation > 0 {
             host.readiness = 0.0; // until it has answered: half open means one at a time
         }
-        request.attempts.push(Attempt::new(h, self.now, work, dialled));
+        request.attempts.push(Attempt::new(h, self.now, open, dialled));
         let (host, repeat) = (host.entry.host, self.repeat_after(request));
         let copies = self.settings.limits.second_copies;
         out.push(Action::Send { id, host, timeout: repeat.filter(|_| !copies) });
@@ -455,7 +459,8 @@
         let size = new.size_hint.filter(|s| s.is_finite() && *s > 0.0).unwrap_or(1.0);
         let patience = if new.patience.is_finite() { new.patience } else { class.deadline };
         let key = new.key.as_deref().filter(|_| self.settings.warm_keys).map(hash);
-        let request = Request::new(new.class, self.now, patience, size, key);
+        let mut request = Request::new(new.class, self.now, patience, size, key);
+        (request.once, request.coming) = (new.coming, new.coming);
         self.classes[new.class].size.add(size);
         // A client's repeat belongs to its first try.
         self.classes[new.class].kept.n += f64::from(u8::from(!new.is_retry));
@@ -469,6 +474,18 @@
         self.dispatch(new.id, out);
     }
 
+    /// From now on the client waits, and the host works.
+    fn came_whole(&mut self, id: RequestId, patience: Millis) {
+        let Some(mut request) = self.requests.remove(&id) else { return };
+        (request.coming, request.arrived, request.deadline) = (false, self.now, self.now + patience);
+        let work = self.usual(request.class, request.size);
+        for attempt in request.attempts.iter_mut().filter(|attempt| attempt.open && attempt.work == 0.0) {
+            (attempt.sent, attempt.work) = (self.now, work);
+            self.load.open_work += work;
+        }
+        self.requests.insert(id, request);
+    }
+
     /// Sends the request on, or holds it while no host is ready, or ends it when its time is up.
     fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let idle = |r: &&Request| !r.ended && r.open_attempts() == 0;
@@ -514,7 +531,7 @@
             let wait = (HEDGE_AT * usual).max(aim_left - RESEND_NEEDS * usual);
             (wait, if lost { left.min(aim_left) } else { 0.0 })
         };
-        (effect != Effect::Unsafe && wait + usual < useful).then_some(wait)
+        (effect != Effect::Unsafe && !request.once && wait + usual < useful).then_some(wait)
     }
 
     /// Hedging: a second copy beside one that hangs, within the retry budget.
@@ -556,6 +573,7 @@
         attempt.open = false;
         self.load.open_work -= attempt.work;
         attempt.may_have_run = !never_ran;
+        request.spent |= end.spent;
         let h = attempt.host;
         let (dialled, time_up) = (attempt.dialled, self.now + self.settings.tick >= request.deadline);
         let (class, size, over, arrived) = (request.class, request.size, request.ended, request.arrived);
@@ -862,7 +880,7 @@
 
     /// Attempts that are out, of requests that still wait for an answer.
     fn hanging(&self) -> impl Iterator<Item = (&Request, &Attempt)> {
-        let waiting = self.requests.values().filter(|r| r.waits());
+        let waiting = self.requests.values().filter(|r| r.waits() && !r.coming);
         waiting.flat_map(|r| r.attempts.iter().filter(|a| a.open).map(move |a| (r, a)))
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -189,6 +189,10 @@
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) streaming: bool,
     pub(crate) ended: bool,
+    /// Its body may be sent once at the most, and is still coming, and was sent in part.
+    pub(crate) once: bool,
+    pub(crate) coming: bool,
+    pub(crate) spent: bool,
 }
 
 impl Request {
@@ -209,6 +213,9 @@
             attempts: Vec::new(),
             streaming: false,
             ended: false,
+            once: false,
+            coming: false,
+            spent: false,
         }
     }
 
--- a/tests/four_rules.rs
+++ b/tests/four_rules.rs
@@ -249,6 +249,28 @@
     assert!(of(2) > 0.0 && of(2) < 0.7 * of(1), "{served:?}");
 }
 
+/// Guards against half a body sent for a whole one.
+#[test]
+fn a_request_whose_body_is_used_up_is_not_sent_again() {
+    let mut rig = Rig::new(settings(), hosts(5));
+    for spent in [false, true] {
+        let id = rig.request_with(0, |new| new.coming = true);
+        rig.requests.get_mut(&id).expect("taken").sent[0].outcome = Some(Outcome::ConnectFailed);
+        let end = AttemptEnd {
+            id,
+            attempt: 0,
+            outcome: Outcome::ConnectFailed,
+            latency: 5.0,
+            ended: false,
+            report: LoadReport::default(),
+            spent,
+        };
+        rig.event(Event::Finished(end));
+        assert_eq!(rig.requests[&id].sent.len(), if spent { 1 } else { 2 }, "spent: {spent}");
+        assert_eq!(rig.requests[&id].ending, spent.then_some(Ending::Refused), "spent: {spent}");
+    }
+}
+
 /// Guards against a cold host pushed over: within every window it gets no more than the ramped part of what
 /// a warm one gets, however few the others are.
 #[test]
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -470,6 +470,7 @@
         latency: 1.0,
         ended: true,
         report: LoadReport::default(),
+        spent: false,
     };
     let events = [
         Event::Finished(end),
@@ -922,3 +923,37 @@
     // The limit on open work still sheds some; the strain alone had shed nearly all.
     assert!(sent / all > 0.6, "{sent} of {all}");
 }
+
+/// Guards against bodies that come slowly taken for hosts that answer slowly: the client's time has not begun, and no
+/// host works on them.
+#[test]
+fn a_body_that_is_still_coming_is_no_strain() {
+    for coming in [true, false] {
+        let mut rig = Rig::new(settings(), hosts(3));
+        rig.serve(200, 0, |_| 20.0);
+        let patience = |new: &mut NewRequest| (new.coming, new.patience) = (coming, 20_000.0);
+        let slow: Vec<RequestId> = (0..30).map(|_| rig.request_with(0, patience)).collect();
+        rig.pass(2000.0);
+        let refused = (0..50).filter(|_| {
+            let id = rig.request(0);
+            let refused = rig.requests[&id].ending == Some(Ending::Refused);
+            if !refused {
+                rig.finish(id, 0, Outcome::Served);
+            }
+            refused
+        });
+        let refused = refused.count();
+        assert_eq!(refused > 0, !coming, "coming: {coming}, {refused} refused");
+        if coming {
+            // Once they have come, they are work as any other.
+            for id in &slow {
+                rig.event(Event::Whole { id: *id, patience: 1000.0 });
+            }
+            rig.pass(600.0);
+            assert!((0..50).any(|_| {
+                let id = rig.request(0);
+                rig.requests[&id].ending == Some(Ending::Refused)
+            }));
+        }
+    }
+}
