Keep a client's connection for as long as it may rest over a long answer

At fault: the 2.2 s after which Door closes an idle connection, counted from when the answer was with the system, while the client may not have read it.

--- a/proxy/src/clients.rs
+++ b/proxy/src/clients.rs
@@ -186,9 +186,13 @@
 impl Door {
     /// Until when a head has to be there; that of a request which is being answered is far off.
     fn due(&self) -> Instant {
-        match (self.busy.get(), self.idle.get()) {
-            (0, None) => self.opened + FIRST_WITHIN,
-            (0, Some(idle)) => self.stream.heard().unwrap_or(idle) + HEAD_WITHIN,
+        match (self.busy.get(), self.idle.get(), self.stream.heard()) {
+            (0, None, _) => self.opened + FIRST_WITHIN,
+            (0, Some(_), Some(heard)) => heard + HEAD_WITHIN,
+            // Guards against a close that reaches a client before it has read its answer: the last of it may be with
+            // the system only, and the client may rest.
+            (0, Some(idle), None) if self.long.get() => idle + READ_LONG_WITHIN,
+            (0, Some(idle), None) => idle + HEAD_WITHIN,
             _ => Instant::now() + HEAD_WITHIN,
         }
     }
@@ -216,9 +220,9 @@
         }
     }
 
-    /// Whether the first part of a head has come, and no more.
+    /// Whether the first part of a head has come, and no more, or a long answer may still be read.
     fn is_begun(&self) -> bool {
-        self.busy.get() == 0 && self.stream.heard().is_some()
+        self.busy.get() == 0 && (self.stream.heard().is_some() || self.long.get())
     }
 
     fn enter(self: &Rc<Self>) -> Busy {
@@ -509,3 +513,44 @@
     socket.bind(address)?;
     socket.listen(1024)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a close that reaches a client before it has read the answer, and against one in the middle of a
+    /// head that began late: neither is idle.
+    #[test]
+    fn only_a_connection_that_is_idle_is_closed_soon() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+        runtime.expect("a runtime").block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("bound");
+            let mut client = std::net::TcpStream::connect(address).expect("accepted");
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let slot = Sockets::new(1024, 0).place(Side::Client).expect("a place");
+            let stream = Watched::new(stream, slot);
+            let (opened, idle, busy, long) =
+                (Instant::now(), Cell::default(), Cell::default(), Cell::default());
+            let door = Rc::new(Door { stream: Rc::clone(&stream), opened, busy, idle, long });
+            let left = || door.due().saturating_duration_since(Instant::now());
+            assert_eq!(left(), FIRST_WITHIN);
+            let busy = door.enter();
+            tokio::time::advance(FIRST_WITHIN).await;
+            assert_eq!(left(), HEAD_WITHIN, "as long as it is answered");
+            drop(busy);
+            assert_eq!(left(), HEAD_WITHIN);
+            door.long.set(true);
+            assert_eq!(left(), READ_LONG_WITHIN);
+            assert!(door.is_begun(), "a long answer may still be read");
+            door.long.set(false);
+            assert!(!door.is_begun());
+            // A head begins when the time is nearly over.
+            tokio::time::advance(HEAD_WITHIN - Duration::from_millis(1)).await;
+            std::io::Write::write_all(&mut client, b"P").expect("written");
+            tokio::io::AsyncReadExt::read_u8(&mut Io(stream)).await.expect("a byte");
+            assert_eq!(left(), HEAD_WITHIN);
+            assert!(door.is_begun());
+        });
+    }
+}
