Use a cold host while its warm kin rests

At fault in fill_cold_budgets: the rate that a warm host gets was read from the resting one too, so it fell towards 0 and no budget ever held one request. A rate that is known from before now stands while no kin is in use; it never exceeded what a warm host bore.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -834,9 +834,11 @@
     /// here. Every balancer doing so keeps the sum below what a warm host bears, without any agreement.
     fn fill_cold_budgets(&mut self, passed: Millis) {
         let mut warm = vec![Mean::default(); self.warm_rates.len()];
-        // Only of the hosts in use here: a mean over all would starve the cold ones where subsets are small.
+        // Only of the hosts in use here: a mean over all would starve the cold ones where subsets are small, and so
+        // would one over hosts that rest, whose kin then are needed most.
         let used = self.groups.iter().flatten().map(|&h| &self.hosts[h]);
-        for host in used.filter(|h| self.warmth(h) >= 1.0) {
+        for host in used.filter(|h| self.warmth(h) >= 1.0 && h.probation == 0 && h.readiness > HOME_READINESS)
+        {
             warm[host.entry.kind].add(host.sent / RATE_MEMORY);
         }
         self.warm_rates.iter_mut().zip(warm).for_each(|(rate, seen)| *rate = seen.value_or(*rate));
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -957,3 +957,36 @@
         }
     }
 }
+
+/// Guards against a cold host that gets nothing since the only warm one of its kind rests: it is needed most then.
+#[test]
+fn a_cold_host_is_used_while_its_warm_kin_rests() {
+    let mut s = settings();
+    s.kinds = 2;
+    let list = hosts(5).into_iter().map(|host| HostEntry { kind: usize::from(host.host.0 > 1), ..host });
+    let mut rig = Rig::new(s, list.collect());
+    let drive = |rig: &mut Rig, fails: bool| {
+        let mut cold = 0;
+        for _ in 0..400 {
+            // So many at once that each host is wanted.
+            let ids: Vec<RequestId> = (0..6).map(|_| rig.request(0)).collect();
+            rig.pass(20.0);
+            for id in ids {
+                while let (None, Some(attempt)) = (rig.requests[&id].ending, rig.open(id).first().copied()) {
+                    let host = rig.host_of(id, attempt as usize);
+                    cold += usize::from(host == HostId(9));
+                    let outcome = if fails && host == HostId(1) { Outcome::Error } else { Outcome::Served };
+                    rig.finish(id, attempt, outcome);
+                }
+            }
+            rig.pass(5.0);
+        }
+        cold
+    };
+    drive(&mut rig, false);
+    drive(&mut rig, true);
+    rig.news(HostNews::Changes(vec![HostEntry { started: Some(rig.now), kind: 0, ..host(9) }]));
+    let cold = drive(&mut rig, true);
+    // 85 where the rate of its kin that rests counted.
+    assert!(cold > 200, "{cold} in the ten seconds in which it becomes warm");
+}
