--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -242,18 +242,20 @@
     /// Takes a request in. Its answer comes out of the ticket; dropping that says that the client has left.
     pub fn take(self: &Rc<Self>, facts: Facts, order: Order) -> Ticket {
         let (reply, answer) = oneshot::channel();
-        let order = Rc::new(order);
+        let (order, taken) = (Rc::new(order), Rc::new(Cell::new(false)));
         let id = {
             let mut state = self.state.borrow_mut();
             let id = RequestId(state.next_id);
             state.next_id += 1;
-            let coming = order.long().map(|_| self.wait_for_body(id, Rc::clone(&order)));
+            let coming = order.long().map(|_| self.wait_for_body(id, Rc::clone(&order), Rc::clone(&taken)));
             let job =
                 Job { order: Rc::clone(&order), _coming: coming, reply: Some(reply), attempts: Vec::new() };
             state.jobs.insert(id, job);
             id
         };
-        self.taken.set(self.taken.get() + 1);
+        if order.long().is_none() {
+            self.count_taken(&taken);
+        }
         let deadline = order.deadline();
         let patience =
             deadline.map_or(order.patience, |deadline| deadline.saturating_duration_since(Instant::now()));
@@ -270,17 +272,30 @@
             key,
             coming,
         }));
-        let counted = Counted { class, driver: Rc::clone(self) };
+        let counted = Counted { class, taken, driver: Rc::clone(self) };
         Ticket { id, order, answer, counted: Some(counted), driver: Rc::clone(self) }
     }
 
+    /// A request is taken with its last byte.
+    fn count_taken(&self, taken: &Cell<bool>) {
+        if !taken.replace(true) {
+            self.taken.set(self.taken.get() + 1);
+        }
+    }
+
     /// Tells the decisions when the last byte of a body has come, from which the client's time counts.
-    fn wait_for_body(self: &Rc<Self>, id: RequestId, order: Rc<Order>) -> AbortOnDropHandle<()> {
+    fn wait_for_body(
+        self: &Rc<Self>,
+        id: RequestId,
+        order: Rc<Order>,
+        taken: Rc<Cell<bool>>,
+    ) -> AbortOnDropHandle<()> {
         let driver = Rc::clone(self);
         AbortOnDropHandle::new(spawn_local(async move {
             if let Some(long) = order.long()
                 && let Ok(came) = long.settled().await
             {
+                driver.count_taken(&taken);
                 let left = (came + order.patience).saturating_duration_since(Instant::now());
                 driver.feed(Event::Whole { id, patience: left.as_secs_f64() * 1e3 });
             }
@@ -426,6 +441,7 @@
 /// A request that was taken and has not ended; it has once this is dropped.
 pub struct Counted {
     class: usize,
+    taken: Rc<Cell<bool>>,
     driver: Rc<Driver>,
 }
 
@@ -447,7 +463,10 @@
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.driver.taken.set(self.driver.taken.get() - 1);
+        // Whatever still waits for the body counts no more.
+        if self.taken.replace(true) {
+            self.driver.taken.set(self.driver.taken.get() - 1);
+        }
     }
 }
 
--- a/proxy/tests/bodies.rs
+++ b/proxy/tests/bodies.rs
@@ -134,6 +134,10 @@
                 client.write("\r\n");
             }
             from = to;
+            if from > LONG / 2 && from < LONG / 2 + 70_000 {
+                // A request is taken with its last byte.
+                assert_eq!(proxy.figures()["concurrent"], 0, "{form}");
+            }
             if from == LONG {
                 break;
             }
