Count what a slow host is sent as if it were sound when cold ones take their part of it

At fault: Balancer::send and fill_cold_budgets take the rate for a cold host from the work that its warm kin were sent, and the only warm one of the kind was a slow one that got a third of its share.

A rig that shows it from outside was tried in three forms and showed no difference, so the test is of the count itself.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -62,6 +62,8 @@
 const LOST_ATTEMPTS: f64 = 8.0;
 /// Answers that a host on probation must serve.
 const PROBATION_ANSWERS: u32 = 3;
+/// Work sent to a slow host tells what a sound one would get; one slower than this tells no more.
+const LEAST_SOUND: f64 = 0.2;
 /// Retry budget: what each first attempt adds, and the most that can be saved up.
 const RETRY_SHARE: f64 = 0.15;
 const RETRY_SAVED: f64 = 10.0;
@@ -403,7 +405,7 @@
         let host = &mut self.hosts[h];
         let dialled = host.takes_on(self.settings.limits.streams);
         self.load.open_work += open;
-        host.sent += work;
+        host.is_sent(work, LEAST_SOUND);
         host.cold_budget -= charge;
         if host.probation > 0 {
             host.readiness = 0.0; // until it has answered: half open means one at a time
@@ -837,8 +839,7 @@
         // Only of the hosts in use here: a mean over all would starve the cold ones where subsets are small, and so
         // would one over hosts that rest, whose kin then are needed most.
         let used = self.groups.iter().flatten().map(|&h| &self.hosts[h]);
-        for host in used.filter(|h| self.warmth(h) >= 1.0 && h.probation == 0 && h.readiness > HOME_READINESS)
-        {
+        for host in used.filter(|h| self.warmth(h) >= 1.0 && h.probation == 0) {
             warm[host.entry.kind].add(host.sent / RATE_MEMORY);
         }
         self.warm_rates.iter_mut().zip(warm).for_each(|(rate, seen)| *rate = seen.value_or(*rate));
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,7 +45,7 @@
     pub(crate) used: Millis,
     /// 1 for each connection that was not made, 0 for each that was.
     pub(crate) dials: Mean,
-    /// Work sent lately, faded over RATE_MEMORY.
+    /// Work sent lately, as much as if the host were sound; faded over RATE_MEMORY.
     pub(crate) sent: f64,
     /// Slow start: work that may still be sent while it is cold.
     pub(crate) cold_budget: f64,
@@ -126,6 +126,12 @@
         mean.fade((most / mean.n).min(1.0));
     }
 
+    /// Counts work that goes there, as much as would if it were sound. Guards against a cold host held to the little
+    /// that a slow one of its kind gets.
+    pub(crate) fn is_sent(&mut self, work: f64, least_sound: f64) {
+        self.sent += work / self.readiness.clamp(least_sound, 1.0);
+    }
+
     /// One more attempt goes there; true if it has to open a connection.
     pub(crate) fn takes_on(&mut self, streams: u32) -> bool {
         let dials = !self.has_room(streams);
@@ -293,3 +299,22 @@
     Hedge(RequestId),
     Ask,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::interface::{HostId, Phase};
+
+    #[test]
+    fn what_a_slow_host_is_sent_counts_as_if_it_were_sound() {
+        let (started, phase) = (None, Phase::Up);
+        let entry = HostEntry { host: HostId(1), zone: 0, kind: 0, cell: 0, weight: 1.0, started, phase };
+        let sent = |readiness| {
+            let mut host = Host::new(0, 0.0, 1, entry.clone());
+            host.readiness = readiness;
+            host.is_sent(10.0, 0.2);
+            host.sent
+        };
+        assert_eq!([1.0, 0.5, 0.25, 0.01].map(sent), [10.0, 20.0, 40.0, 50.0]);
+    }
+}
