--- a/proxy/src/hosts.rs
+++ b/proxy/src/hosts.rs
@@ -31,8 +31,6 @@
 pub const BUFFER: usize = 16 * 1024;
 /// How long an answer of unknown length is looked at before its first bytes are passed on: most are short.
 const LOOK_FOR: Duration = Duration::from_millis(20);
-/// So long before the time is up, so that the look at an answer ends before the attempt does.
-const BEFORE_LATEST: Duration = Duration::from_millis(3);
 /// A host that takes or gives nothing for so long, where it has begun, has ended for us.
 const STALLED: Duration = Duration::from_secs(5);
 /// A host closes a connection that has been idle for the time in the settings; ours go by this part of it.
@@ -406,18 +404,11 @@
             Some(length) => self.room.short(length).await,
             None => self.room.long().await,
         };
-        // A short one counts when it is whole. Any other is passed on from its first bytes, or, where the client's
-        // time runs out, without them: an answer that has begun is not given up while it comes.
-        let latest = until.into_iter().chain(order.deadline()).min().map(|latest| latest - BEFORE_LATEST);
         let soon = Instant::now() + if length.is_some() { Duration::ZERO } else { LOOK_FOR };
         let mut first = BytesMut::with_capacity(short.unwrap_or(0));
         loop {
-            let by =
-                if first.is_empty() { latest } else { Some(latest.map_or(soon, |latest| latest.min(soon))) };
-            let next = match by.filter(|_| short.is_none() && head.status == StatusCode::OK) {
-                Some(by) => timeout_at(by, body.frame()).await,
-                None => Ok(body.frame().await),
-            };
+            let enough = short.is_none() && !first.is_empty();
+            let next = if enough { timeout_at(soon, body.frame()).await } else { Ok(body.frame().await) };
             match next {
                 Ok(Some(frame)) => {
                     if let Ok(data) = frame?.into_data() {
