--- a/src/logic.rs
+++ b/src/logic.rs
@@ -240,7 +240,7 @@
         }
     }
 
-    /// The hosts that get nothing at present, by hand or by this balancer's own choice, whatever the list says.
+    /// The hosts that get nothing at present, by hand or by this balancer's choice, whatever the list says.
     pub fn avoided(&self, now: Millis) -> impl Iterator<Item = HostId> {
         let by_hand = |host: &Host| self.by_hand.get(&host.entry.host) == Some(&Hand::Out);
         let chosen = move |host: &Host| host.entry.phase == Phase::Up && now < host.ejected_until;
@@ -836,8 +836,8 @@
     /// here. Every balancer doing so keeps the sum below what a warm host bears, without any agreement.
     fn fill_cold_budgets(&mut self, passed: Millis) {
         let mut warm = vec![Mean::default(); self.warm_rates.len()];
-        // Only of the hosts in use here: a mean over all would starve the cold ones where subsets are small, and so
-        // would one over hosts that rest, whose kin then are needed most.
+        // Only of the hosts in use here: a mean over all would starve the cold ones where subsets are small, and
+        // so would one over hosts that rest, whose kin then are needed most.
         let used = self.groups.iter().flatten().map(|&h| &self.hosts[h]);
         for host in used.filter(|h| self.warmth(h) >= 1.0 && h.probation == 0) {
             warm[host.entry.kind].add(host.sent / RATE_MEMORY);
