--- a/src/logic.rs
+++ b/src/logic.rs
@@ -836,8 +836,8 @@
     /// here. Every balancer doing so keeps the sum below what a warm host bears, without any agreement.
     fn fill_cold_budgets(&mut self, passed: Millis) {
         let mut warm = vec![Mean::default(); self.warm_rates.len()];
-        // Only of the hosts in use here: a mean over all would starve the cold ones where subsets are small, and
-        // so would one over hosts that rest, whose kin then are needed most.
+        // Only of the hosts in use here: a mean over all would starve the cold ones where subsets
+        // are small, and so would one over hosts that rest, whose kin then are needed most.
         let used = self.groups.iter().flatten().map(|&h| &self.hosts[h]);
         for host in used.filter(|h| self.warmth(h) >= 1.0 && h.probation == 0) {
             warm[host.entry.kind].add(host.sent / RATE_MEMORY);
