Forget the order servers that discovery has taken out, once nothing refers to them

Need: a host that the list no longer has stayed in the decisions' table for good, and its name with its number in the network code's: memory grew with every new name, and so did the time of each regular look.

Change: a host that has been gone for 60 s goes, once no attempt is out there, no request that still waits was sent there and no rest is left; places of the others in memory move up, and what requests refer to moves with them. The module says so (`Action::Forget`) and the network code gives the number up. An operator's word that a host is out stays for good; one back goes when the host is warm by it and gone. Decisions over the last 60 s are as before.

--- a/benchlink/src/link.rs
+++ b/benchlink/src/link.rs
@@ -320,6 +320,8 @@
             let to = to.map_or(To::All("all"), To::One);
             put(reply, &Outgoing::BroadcastTo { proxy, to, content: to_hex(content) });
         }
+        // The simulator gives the numbers, and never gives them up.
+        Action::Forget { .. } => {}
         Action::Watch => put(reply, &Outgoing::Tail { proxy, active: true }),
         Action::Fetch => put(reply, &Outgoing::Lookup { proxy }),
         Action::Log(message) => put(reply, &Outgoing::Trace { proxy, message }),
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -107,7 +107,7 @@
 #[derive(Default)]
 pub struct Ids {
     by_name: RefCell<HashMap<String, HostId>>,
-    taken: RefCell<HashSet<HostId>>,
+    names: RefCell<HashMap<HostId, String>>,
 }
 
 impl Ids {
@@ -123,12 +123,20 @@
         }
         let fnv = |h: u32, byte: u8| (h ^ u32::from(byte)).wrapping_mul(0x0100_0193);
         let mut id = HostId(name.bytes().fold(0x811c_9dc5, fnv));
-        while !self.taken.borrow_mut().insert(id) {
+        while self.names.borrow().contains_key(&id) {
             id = HostId(id.0.wrapping_add(1));
         }
+        self.names.borrow_mut().insert(id, name.to_owned());
         self.by_name.borrow_mut().insert(name.to_owned(), id);
         id
     }
+
+    /// Gives a number up that nothing refers to any more.
+    pub fn forget(&self, host: HostId) {
+        if let Some(name) = self.names.borrow_mut().remove(&host) {
+            self.by_name.borrow_mut().remove(&name);
+        }
+    }
 }
 
 /// Keeps the list of hosts as discovery tells it.
@@ -425,3 +433,19 @@
     spawn_local(async move { drop(connection.await) });
     Ok(link)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against memory that grows with every name, and against a name that comes back as another one.
+    #[test]
+    fn a_number_goes_with_its_name_and_comes_back_with_it() {
+        let ids = Ids::default();
+        let (first, other) = (ids.of("s-1"), ids.of("s-2"));
+        ids.forget(first);
+        assert_eq!((ids.known("s-1"), ids.known("s-2")), (None, Some(other)));
+        assert_eq!(ids.names.borrow().len(), 1);
+        assert_eq!(ids.of("s-1"), first);
+    }
+}
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -185,7 +185,7 @@
         })
     }
 
-    /// The numbers of all hosts that were ever named.
+    /// The numbers of all hosts that the decisions have not forgotten.
     pub fn ids(&self) -> Rc<Ids> {
         Rc::clone(&self.ids)
     }
@@ -373,6 +373,7 @@
                 });
             }
             Action::CloseIdle { host } => self.hosts.close_idle(host),
+            Action::Forget { host } => self.ids.forget(host),
             // The receiver lives as long as the program; where it has gone, so has the program.
             Action::Watch => drop(self.asks.send(Ask::Watch)),
             Action::Fetch => drop(self.asks.send(Ask::Fetch)),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -596,6 +596,11 @@
         /// At most 256 bytes.
         content: Vec<u8>,
     },
+    /// Nothing is remembered of a server that the list has taken out: its number may be given up.
+    Forget {
+        /// Which one.
+        host: HostId,
+    },
     /// Ask discovery for changes from now on.
     Watch,
     /// Ask discovery for the whole list once.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -120,6 +120,8 @@
 /// to be by then; after about so long at no load, for nearly warm.
 const COLD_BUSY: f64 = 0.7;
 const WARMER_IN: Millis = 3_000.0;
+/// A host that the list has taken out is forgotten after so long: what was learnt of it has faded by then.
+const FORGET_AFTER: Millis = 60_000.0;
 /// Subsetting: a balancer uses no more hosts than give it so many answers each in HOST_MEMORY ...
 const ANSWERS_EACH: f64 = 4.0;
 /// ... but at least so many of a group.
@@ -257,6 +259,7 @@
         match self.wakes.remove(&token) {
             Some(Wake::Judge) => {
                 self.judge();
+                self.forget(out);
                 self.close_idle(out);
                 self.wake(JUDGE_EVERY, Wake::Judge, out);
             }
@@ -1028,6 +1031,42 @@
         }
     }
 
+    /// Guards against memory that grows with every new name: what the list has taken out goes once nothing
+    /// refers to it. An operator's word that a host is out stays, and so does the host's number.
+    fn forget(&mut self, out: &mut Vec<Action>) {
+        let (now, cold) = (self.now, self.settings.contract.cold);
+        for host in &mut self.hosts {
+            host.gone = if host.listed == Phase::Removed { host.gone.min(now) } else { f64::INFINITY };
+        }
+        let mut goes: Vec<bool> = self.hosts.iter().map(|host| host.is_over(now, FORGET_AFTER)).collect();
+        if !goes.contains(&true) && self.by_hand.is_empty() {
+            return;
+        }
+        self.requests.values().flat_map(|r| &r.attempts).for_each(|attempt| goes[attempt.host] = false);
+        let known = |host: &HostId| self.index.get(host).map(|&h| !goes[h]);
+        // What came back so long ago is warm by now, so that nothing follows from it any more.
+        let stands = |hand: Hand| !matches!(hand, Hand::Back(at) if at + cold + FORGET_AFTER <= now);
+        let by_hand = std::mem::take(&mut self.by_hand);
+        let (stay, over): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            by_hand.into_iter().partition(|(host, hand)| stands(*hand) || known(host) == Some(true));
+        let over = over.keys().filter(|host| known(host).is_none());
+        let numbers = self.index.keys().filter(|host| known(host) == Some(false)).chain(over);
+        let numbers = numbers.filter(|host| !stay.contains_key(host));
+        out.extend(numbers.map(|&host| Action::Forget { host }));
+        self.by_hand = stay;
+        if goes.contains(&true) {
+            let hosts = std::mem::take(&mut self.hosts).into_iter().zip(&goes);
+            self.hosts = hosts.filter(|(_, goes)| !**goes).map(|(host, _)| host).collect();
+            self.index = self.hosts.iter().enumerate().map(|(h, host)| (host.entry.host, h)).collect();
+            let count =
+                |kept: &mut usize, goes: &bool| Some(std::mem::replace(kept, *kept + usize::from(!goes)));
+            let places: Vec<usize> = goes.iter().scan(0, count).collect();
+            let attempts = self.requests.values_mut().flat_map(|request| &mut request.attempts);
+            attempts.for_each(|attempt| attempt.host = places[attempt.host]);
+            self.regroup();
+        }
+    }
+
     fn regroup(&mut self) {
         self.groups.iter_mut().for_each(Vec::clear);
         for (h, host) in self.hosts.iter().enumerate().filter(|(_, host)| host.entry.phase == Phase::Up) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,6 +15,8 @@
     pub(crate) entry: HostEntry,
     /// Its state by the list, where operators have it count as another one.
     pub(crate) listed: Phase,
+    /// Since when the list has it no more; never, while it has.
+    pub(crate) gone: Millis,
     /// Its place in the order from which balancers take their parts of the hosts.
     pub(crate) place: f64,
     /// Its group: the hosts of its kind and zone.
@@ -60,6 +62,7 @@
     pub(crate) fn new(group: usize, place: f64, classes: usize, entry: HostEntry) -> Host {
         Host {
             listed: entry.phase,
+            gone: f64::INFINITY,
             place,
             group,
             inflight: 0,
@@ -161,6 +164,11 @@
         self.conns > self.dialling
     }
 
+    /// Whether the list has it no more for `long`, and nothing of it is still under way.
+    pub(crate) fn is_over(&self, now: Millis, long: Millis) -> bool {
+        self.gone + long <= now && self.inflight == 0 && self.ejected_until <= now
+    }
+
     /// Whether an open connection can carry one more attempt.
     pub(crate) fn has_room(&self, streams: u32) -> bool {
         self.inflight < self.conns.saturating_mul(streams)
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -221,6 +221,13 @@
                 assert!(content.len() <= 256, "too long a message");
             }
             Action::CloseIdle { host } => assert!(self.list.contains_key(host)),
+            Action::Forget { host } => {
+                let gone = self.list.remove(host).is_none_or(|entry| entry.phase == Phase::Removed);
+                assert!(gone, "forgot a host of the list");
+                let open = self.requests.values().filter(|taken| taken.ending.is_none());
+                let refers = open.flat_map(|taken| &taken.sent).any(|sent| sent.host == *host);
+                assert!(!refers, "forgot a host that a request was sent to");
+            }
             Action::Watch | Action::Fetch | Action::Log(_) => {}
         }
     }
--- a/tests/random_events.rs
+++ b/tests/random_events.rs
@@ -121,6 +121,8 @@
                     }
                 }
             }
+            // Long enough, now and then, for hosts to be forgotten.
+            28 if below(&mut rng, 20) == 0 => rig.pass(61_000.0),
             _ => rig.pass(f64::from(below(&mut rng, 30))),
         }
     }
