--- /dev/null
+++ b/testbed/src/clients.rs
@@ -0,0 +1,330 @@
+//! Stand-ins of clients: arrivals that are drawn ahead and never wait, each client beside its client proxy.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until, timeout_at};
+
+use crate::ledger::{self, Ending, Rule, Txn};
+use crate::scenario::{Class, Scenario, Semantics};
+use crate::servers::{Play, body_of};
+use crate::station::Seconds;
+
+/// Work has at least this part of its mean; the rest is drawn from an exponential distribution.
+const WORK_LEAST: f64 = 0.3;
+
+/// A stream of chance of its own: from the seed and a name, so that draws from one do not change another.
+pub fn chance(seed: u64, name: &str) -> Pcg32 {
+    let step = |h: u64, byte: u8| (h ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    Pcg32::seed_from_u64(name.bytes().fold(0xcbf2_9ce4_8422_2325 ^ seed, step))
+}
+
+/// From 0 to under 1.
+pub fn unit(rng: &mut Pcg32) -> f64 {
+    f64::from(rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
+}
+
+fn exponential(rng: &mut Pcg32) -> f64 {
+    -(1.0 - unit(rng)).ln()
+}
+
+/// A request that is to come.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// When.
+    pub at: Seconds,
+    /// Which class.
+    pub class: usize,
+    /// Through which client proxy.
+    pub proxy: usize,
+    /// On a standard core.
+    pub work: Seconds,
+}
+
+/// All requests of a play but for repeats, in their order. The same seed gives the same ones.
+pub fn arrivals(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
+    let mut rng = chance(seed, "arrivals");
+    let Scenario { load, class, fleet, duration, .. } = scenario;
+    let most = load.burst.iter().map(|burst| burst.times).fold(1.0, f64::max);
+    let shares: f64 = class.iter().map(|class| class.share).sum();
+    let (mut at, mut all) = (0.0, Vec::new());
+    loop {
+        at += exponential(&mut rng) / (load.per_second * most);
+        if at >= duration.as_secs_f64() {
+            return all;
+        }
+        let within = |from: Duration, lasts: Duration| {
+            (from.as_secs_f64()..(from + lasts).as_secs_f64()).contains(&at)
+        };
+        let bursts = load.burst.iter().filter(|burst| within(burst.at, burst.lasts));
+        let times = bursts.map(|burst| burst.times).fold(1.0, f64::max);
+        // All draws are made in any case, so that a burst moves nothing else.
+        let (kept, mut point) = (unit(&mut rng) < times / most, unit(&mut rng) * shares);
+        let (proxy, size) = (unit(&mut rng) * fleet.proxies as f64, exponential(&mut rng));
+        let chosen = class.iter().position(|class| {
+            point -= class.share;
+            point < 0.0
+        });
+        let class_number = chosen.unwrap_or(class.len() - 1);
+        if kept {
+            let mean = class[class_number].work.as_secs_f64();
+            let work = mean * (WORK_LEAST + (1.0 - WORK_LEAST) * size);
+            all.push(Arrival { at, class: class_number, proxy: proxy as usize, work });
+        }
+    }
+}
+
+/// A client proxy as its clients see it.
+pub struct Beside {
+    address: SocketAddr,
+    idle: RefCell<Vec<SendRequest<Empty<Bytes>>>>,
+    /// When a fault of the scenario had it, the last one perhaps still.
+    faults: RefCell<Vec<(Seconds, Seconds)>>,
+    ready: Cell<bool>,
+}
+
+impl Beside {
+    /// One that listens there.
+    pub fn new(address: SocketAddr) -> Beside {
+        Beside { address, idle: RefCell::default(), faults: RefCell::default(), ready: Cell::new(true) }
+    }
+
+    /// A fault has it from now on.
+    pub fn taken(&self, now: Seconds) {
+        self.faults.borrow_mut().push((now, f64::INFINITY));
+        self.ready.set(false);
+    }
+
+    /// It serves again.
+    pub fn back(&self, now: Seconds) {
+        if let Some((_, until)) = self.faults.borrow_mut().last_mut() {
+            *until = until.min(now);
+        }
+        self.ready.set(true);
+    }
+
+    /// Whether a fault had it at some time in between.
+    pub fn was_taken(&self, from: Seconds, until: Seconds) -> bool {
+        self.faults.borrow().iter().any(|(begun, over)| *begun <= until && *over >= from)
+    }
+}
+
+/// All clients.
+pub struct Clients {
+    play: Play,
+    classes: Vec<Class>,
+    retries: u32,
+    lost_after: Seconds,
+    proxies: Vec<Rc<Beside>>,
+}
+
+enum Came {
+    Answer(StatusCode, Option<Duration>, Option<Bytes>),
+    /// The connection was closed, or never came up; whether it had carried a request before.
+    Closed(bool),
+}
+
+impl Clients {
+    /// Of these client proxies.
+    pub fn new(play: Play, scenario: &Scenario, proxies: Vec<Rc<Beside>>) -> Rc<Clients> {
+        let (classes, retries) = (scenario.class.clone(), scenario.load.retries);
+        let lost_after = scenario.contract.lost_after.as_secs_f64();
+        Rc::new(Clients { play, classes, retries, lost_after, proxies })
+    }
+
+    /// Sends what is to come, each at its time.
+    pub async fn send(self: Rc<Self>, arrivals: Vec<Arrival>) {
+        for arrival in arrivals {
+            sleep_until(self.play.instant(arrival.at)).await;
+            spawn_local(Rc::clone(&self).want(arrival));
+        }
+    }
+
+    /// One thing that a client wants, with all its tries.
+    async fn want(self: Rc<Self>, arrival: Arrival) {
+        let class = &self.classes[arrival.class];
+        let (aim, patience) = (class.aim.as_secs_f64(), class.patience.as_secs_f64());
+        let (mut meant, mut first) = (arrival.at, None);
+        for _ in 0..=self.retries {
+            let txn = self.enter(&arrival, class, first, meant);
+            first.get_or_insert(txn);
+            let (ending, keep_away) = self.attempt(txn, class, arrival.proxy, meant).await;
+            let now = self.play.now();
+            self.play.ledger.borrow_mut().ended(txn, ending, now);
+            let keep_away = keep_away.map_or(aim / 4.0, |advice| advice.as_secs_f64());
+            meant = now + keep_away;
+            if ending != Ending::Refused || meant > arrival.at + patience {
+                return;
+            }
+            sleep(Duration::from_secs_f64(keep_away)).await;
+        }
+    }
+
+    fn enter(&self, arrival: &Arrival, class: &Class, first: Option<Txn>, meant: Seconds) -> Txn {
+        let late = self.play.now() - meant;
+        let Arrival { class: number, proxy, work, .. } = *arrival;
+        let request = ledger::Request {
+            class: number,
+            proxy,
+            meant,
+            work,
+            first: Txn(0),
+            once: class.semantics == Semantics::Unsafe,
+            keyed: class.semantics == Semantics::Keyed,
+            worth: class.worth,
+            aim: class.aim.as_secs_f64(),
+        };
+        self.play.ledger.borrow_mut().enter(request, first, late)
+    }
+
+    /// One try: how it ended, and how long the client ought to keep away.
+    async fn attempt(
+        &self,
+        txn: Txn,
+        class: &Class,
+        proxy: usize,
+        meant: Seconds,
+    ) -> (Ending, Option<Duration>) {
+        let beside = &self.proxies[proxy];
+        let patience = class.patience.as_secs_f64();
+        let lost = self.play.instant(meant + patience + self.lost_after);
+        let came = timeout_at(lost, self.exchange(txn, class, beside, meant)).await;
+        let now = self.play.now();
+        let (ending, how) = match came {
+            Ok(Came::Answer(StatusCode::OK, _, Some(body))) if body == body_of(txn) => (Ending::Served, None),
+            Ok(Came::Answer(StatusCode::OK, _, Some(_))) => {
+                (Ending::Failed, Some("was served with what no server made"))
+            }
+            // An answer that broke off where the client can tell has failed.
+            Ok(Came::Answer(StatusCode::OK, _, None)) => (Ending::Failed, None),
+            Ok(Came::Answer(StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, advice, _)) => {
+                return (Ending::Refused, advice);
+            }
+            Ok(Came::Answer(..)) => (Ending::Failed, None),
+            Ok(Came::Closed(_)) => (Ending::Failed, Some("was closed on without an answer")),
+            Err(_) => (Ending::TimedOut, Some("had no answer")),
+        };
+        if beside.was_taken(meant, now) && ending != Ending::Served {
+            return (Ending::Taken, None);
+        }
+        if let Some(how) = how {
+            let how = format!("{txn:?} of client proxy {proxy}, meant at {meant:.3} s, {how}");
+            self.play.ledger.borrow_mut().broken(Rule::Lost, now, &how);
+        }
+        let late = ending == Ending::Served && now > meant + patience;
+        (if late { Ending::TimedOut } else { ending }, None)
+    }
+
+    async fn exchange(&self, txn: Txn, class: &Class, beside: &Beside, meant: Seconds) -> Came {
+        match self.once(txn, class, beside, meant).await {
+            // A close that crossed a request which was not read: it is sent once more, on a new connection.
+            Came::Closed(true) if !self.play.ledger.borrow().was_sent_on(txn) => {
+                beside.idle.borrow_mut().clear();
+                self.once(txn, class, beside, meant).await
+            }
+            came => came,
+        }
+    }
+
+    async fn once(&self, txn: Txn, class: &Class, beside: &Beside, meant: Seconds) -> Came {
+        let mut kept = None;
+        loop {
+            let Some(mut idle) = beside.idle.borrow_mut().pop() else { break };
+            if idle.ready().await.is_ok() {
+                kept = Some(idle);
+                break;
+            }
+        }
+        let used = kept.is_some();
+        let mut sender = match kept {
+            Some(sender) => sender,
+            None => {
+                let Ok(stream) = TcpStream::connect(beside.address).await else { return Came::Closed(false) };
+                let _ = stream.set_nodelay(true);
+                let Ok((sender, connection)) = handshake(TokioIo::new(stream)).await else {
+                    return Came::Closed(false);
+                };
+                // How it ends is seen by the request on it.
+                spawn_local(async move { drop(connection.await) });
+                sender
+            }
+        };
+        let left = meant + class.patience.as_secs_f64() - self.play.now();
+        let request = self.request(txn, class, left);
+        let Ok(response) = sender.send_request(request).await else { return Came::Closed(used) };
+        let (head, body) = response.into_parts();
+        let advice = head.headers.get("retry-after").and_then(|advice| advice.to_str().ok()?.parse().ok());
+        let advice = advice.filter(|advice: &f64| (0.0..1e6).contains(advice)).map(Duration::from_secs_f64);
+        let body = body.collect().await.ok().map(|body| body.to_bytes());
+        if body.is_some() {
+            beside.idle.borrow_mut().push(sender);
+        }
+        Came::Answer(head.status, advice, body)
+    }
+
+    fn request(&self, txn: Txn, class: &Class, left: Seconds) -> Request<Empty<Bytes>> {
+        let mut request = Request::new(Empty::new());
+        let headers = [
+            ("host", "origin.svc".to_owned()),
+            ("x-txn", format!("{:016x}", txn.0)),
+            ("x-lane", class.name.clone()),
+            ("x-remaining-ms", ((left * 1e3) as u64).max(1).to_string()),
+        ];
+        for (name, value) in headers {
+            if let Ok(value) = value.try_into() {
+                request.headers_mut().insert(name, value);
+            }
+        }
+        if class.semantics != Semantics::Safe {
+            *request.method_mut() = Method::POST;
+        }
+        let first = self.play.ledger.borrow().request(txn).map(|request| request.first);
+        let key = first.filter(|_| class.semantics == Semantics::Keyed);
+        if let Some(Ok(key)) = key.map(|first| format!("key{:016x}", first.0).try_into()) {
+            request.headers_mut().insert("idempotency-key", key);
+        }
+        if let Ok(uri) = format!("/{}", class.name).parse() {
+            *request.uri_mut() = uri;
+        }
+        request
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn shipped(name: &str) -> Scenario {
+        let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios").join(name);
+        Scenario::read(&path).expect("it comes with the testbed")
+    }
+
+    /// Guards against plays that cannot be played again, and against load that is not what the scenario says.
+    #[test]
+    fn the_seed_gives_the_same_arrivals_at_the_rate_asked_for() {
+        let burst = shipped("burst.toml");
+        let all = arrivals(&burst, 3);
+        assert_eq!(all, arrivals(&burst, 3));
+        assert_ne!(all, arrivals(&burst, 4));
+        assert!(all.is_sorted_by(|a, b| a.at <= b.at));
+        let within = |from: f64, to: f64| all.iter().filter(|a| (from..to).contains(&a.at)).count() as f64;
+        // 400 a second, and half as much again from 5 s to 9 s; four standard deviations are allowed for.
+        for (n, mean) in [(within(0.0, 5.0), 2000.0_f64), (within(5.0, 9.0), 2400.0)] {
+            assert!((n - mean).abs() < 4.0 * mean.sqrt(), "{n} and not {mean}");
+        }
+        let mean = all.iter().filter(|a| a.class == 0).map(|a| a.work).sum::<f64>()
+            / all.iter().filter(|a| a.class == 0).count() as f64;
+        assert!((mean / 0.008 - 1.0).abs() < 0.05, "{mean}");
+    }
+}
--- /dev/null
+++ b/testbed/src/events.rs
@@ -0,0 +1,269 @@
+//! The scenario's faults, carried out at their times.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand_pcg::Pcg32;
+use rustix::process::Signal;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until};
+
+use crate::clients::{Beside, chance, unit};
+use crate::discovery::Discovery;
+use crate::fleet::Proxy;
+use crate::ledger::Rule;
+use crate::link::Link;
+use crate::scenario::{Among, Direction, Event, Fault, Latency, Zone};
+use crate::servers::{Mood, Play, Server};
+
+/// A drained server's process is gone after so long.
+const DRAINED_AFTER: Duration = Duration::from_secs(5);
+/// A client proxy that was told to end has ended by then: the longest deadline and 0.7 s, and more against hanging.
+const END_WITHIN: Duration = Duration::from_secs(10);
+
+/// All that a fault may concern.
+pub struct World {
+    /// The clock and the ledger.
+    pub play: Play,
+    /// The processes.
+    pub proxies: Vec<Rc<Proxy>>,
+    /// The same ones as their clients see them.
+    pub beside: Vec<Rc<Beside>>,
+    /// The order servers.
+    pub servers: Vec<Rc<Server>>,
+    /// By client proxy and server.
+    pub links: Vec<Vec<Rc<Link>>>,
+    /// The list.
+    pub discovery: Rc<Discovery>,
+    /// By number.
+    pub zones: Vec<Zone>,
+    /// The names of the kinds, by number.
+    pub kinds: Vec<String>,
+}
+
+impl World {
+    /// The zone of a client proxy.
+    pub fn zone_of(&self, proxy: usize) -> usize {
+        proxy % self.zones.len()
+    }
+
+    fn drawn(&self, among: &Among, all: Vec<usize>, rng: &mut Pcg32) -> Vec<usize> {
+        let named = |n: &usize| among.number.as_ref().is_none_or(|numbers| numbers.contains(n));
+        let mut left: Vec<usize> = all.into_iter().filter(named).collect();
+        let Some(part) = among.part else { return left };
+        let most = (part * left.len() as f64).round() as usize;
+        let mut drawn: Vec<usize> =
+            (0..most).map(|_| left.swap_remove((unit(rng) * left.len() as f64) as usize)).collect();
+        drawn.sort_unstable();
+        drawn
+    }
+
+    fn proxies(&self, among: &Among, rng: &mut Pcg32) -> Vec<usize> {
+        let fits =
+            |n: &usize| among.zone.as_ref().is_none_or(|zone| self.zones[self.zone_of(*n)].name == *zone);
+        self.drawn(among, (0..self.proxies.len()).filter(fits).collect(), rng)
+    }
+
+    fn servers(&self, among: &Among, rng: &mut Pcg32) -> Vec<usize> {
+        let fits = |n: &usize| {
+            let traits = &self.servers[*n].traits;
+            among.zone.as_ref().is_none_or(|zone| self.zones[traits.zone].name == *zone)
+                && among.kind.as_ref().is_none_or(|kind| self.kinds[traits.kind] == *kind)
+        };
+        self.drawn(among, (0..self.servers.len()).filter(fits).collect(), rng)
+    }
+
+    /// Carries the events out, each at its time. What they do is drawn by the seed before anything happens.
+    pub fn play(self: Rc<Self>, events: &[Event], seed: u64) {
+        for (n, event) in events.iter().enumerate() {
+            let (world, event) = (Rc::clone(&self), event.clone());
+            let rng = chance(seed, &format!("event {n}"));
+            spawn_local(async move {
+                sleep_until(world.play.instant(event.at.as_secs_f64())).await;
+                world.carry_out(event.fault, rng).await;
+            });
+        }
+    }
+
+    fn note(&self, what: String) {
+        let now = self.play.now();
+        self.play.ledger.borrow_mut().fault(now, what);
+    }
+
+    async fn carry_out(self: &Rc<Self>, fault: Fault, mut rng: Pcg32) {
+        match fault {
+            Fault::Kill { proxies, restart_after } => {
+                let proxies = self.proxies(&proxies, &mut rng);
+                self.note(format!("kill {} client proxies", proxies.len()));
+                for &n in &proxies {
+                    self.beside[n].taken(self.play.now());
+                    self.proxies[n].signal(Signal::KILL);
+                }
+                if let Some(pause) = restart_after {
+                    sleep(pause).await;
+                    let starts: Vec<_> =
+                        proxies.into_iter().map(|n| spawn_local(Rc::clone(self).restart(n))).collect();
+                    for start in starts {
+                        let _ = start.await;
+                    }
+                }
+            }
+            Fault::Stop { proxies, lasts } => {
+                let proxies = self.proxies(&proxies, &mut rng);
+                self.note(format!("stop {} client proxies", proxies.len()));
+                for &n in &proxies {
+                    self.beside[n].taken(self.play.now());
+                    self.proxies[n].signal(Signal::STOP);
+                }
+                sleep(lasts).await;
+                for &n in &proxies {
+                    self.proxies[n].signal(Signal::CONT);
+                    self.beside[n].back(self.play.now());
+                }
+            }
+            Fault::Roll { proxies } => {
+                let proxies = self.proxies(&proxies, &mut rng);
+                self.note(format!("roll {} client proxies", proxies.len()));
+                for n in proxies {
+                    self.beside[n].taken(self.play.now());
+                    self.proxies[n].signal(Signal::TERM);
+                    if !self.proxies[n].ended(END_WITHIN).await {
+                        self.proxies[n].signal(Signal::KILL);
+                    }
+                    Rc::clone(self).restart(n).await;
+                }
+            }
+            Fault::Silent { servers, lasts } => self.moods(&servers, Mood::Silent, lasts, &mut rng).await,
+            Fault::Error { servers, lasts } => self.moods(&servers, Mood::Error, lasts, &mut rng).await,
+            Fault::Slow { servers, times, lasts } => {
+                let servers = self.servers(&servers, &mut rng);
+                self.note(format!("{} servers {times} times slower", servers.len()));
+                servers.iter().for_each(|&n| self.servers[n].slow(times));
+                sleep(lasts).await;
+                servers.iter().for_each(|&n| self.servers[n].slow(1.0));
+            }
+            Fault::Pause { servers, lasts } => {
+                let servers = self.servers(&servers, &mut rng);
+                self.note(format!("{} servers pause", servers.len()));
+                servers.iter().for_each(|&n| self.servers[n].pause(lasts));
+            }
+            Fault::Lose { servers, known_after, lasts } => {
+                let servers = self.servers(&servers, &mut rng);
+                self.note(format!("lose {} servers", servers.len()));
+                servers.iter().for_each(|&n| self.links.iter().for_each(|links| links[n].cut(true, true)));
+                sleep(known_after.min(lasts)).await;
+                servers.iter().for_each(|&n| self.discovery.gone(n, true));
+                sleep(lasts.saturating_sub(known_after)).await;
+                self.note(format!("{} servers return cold", servers.len()));
+                for &n in &servers {
+                    self.servers[n].restart();
+                    for links in &self.links {
+                        links[n].reset();
+                        links[n].cut(false, false);
+                    }
+                    self.discovery.gone(n, false);
+                }
+            }
+            Fault::Drain { servers } => {
+                let servers = self.servers(&servers, &mut rng);
+                self.note(format!("drain {} servers", servers.len()));
+                servers.iter().for_each(|&n| self.servers[n].drain());
+                self.discovery.look();
+                sleep(DRAINED_AFTER).await;
+                servers.iter().for_each(|&n| self.discovery.gone(n, true));
+            }
+            Fault::Cut { proxies, servers, across, way, lasts } => {
+                let (proxies, servers) = (self.proxies(&proxies, &mut rng), self.servers(&servers, &mut rng));
+                let same = |n: usize, m: usize| self.zone_of(n) == self.servers[m].traits.zone;
+                let pairs: Vec<(usize, usize)> = proxies
+                    .iter()
+                    .flat_map(|&n| servers.iter().map(move |&m| (n, m)))
+                    .filter(|&(n, m)| !across || !same(n, m))
+                    .collect();
+                self.note(format!("cut {} links", pairs.len()));
+                let (out, back) = (way != Some(Direction::Back), way != Some(Direction::Out));
+                pairs.iter().for_each(|&(n, m)| self.links[n][m].cut(out, back));
+                sleep(lasts).await;
+                self.note(format!("{} links heal", pairs.len()));
+                pairs.iter().for_each(|&(n, m)| self.links[n][m].cut(false, false));
+            }
+            Fault::Reset { proxies, servers } => {
+                let (proxies, servers) = (self.proxies(&proxies, &mut rng), self.servers(&servers, &mut rng));
+                self.note(format!("reset {} links", proxies.len() * servers.len()));
+                proxies.iter().for_each(|&n| servers.iter().for_each(|&m| self.links[n][m].reset()));
+            }
+            Fault::DiscoveryDown { lasts } => {
+                self.note("discovery down".to_owned());
+                self.discovery.down(true);
+                sleep(lasts).await;
+                self.discovery.down(false);
+            }
+            Fault::DiscoveryStale { by, lasts } => {
+                self.note(format!("discovery {} s old", by.as_secs_f64()));
+                self.discovery.stale(by.as_secs_f64());
+                sleep(lasts).await;
+                self.discovery.stale(0.0);
+            }
+        }
+    }
+
+    async fn moods(&self, servers: &Among, mood: Mood, lasts: Duration, rng: &mut Pcg32) {
+        let servers = self.servers(servers, rng);
+        self.note(format!("{} servers {mood:?}", servers.len()));
+        servers.iter().for_each(|&n| self.servers[n].mood(mood));
+        sleep(lasts).await;
+        servers.iter().for_each(|&n| self.servers[n].mood(Mood::Well));
+    }
+
+    async fn restart(self: Rc<Self>, n: usize) {
+        match self.proxies[n].start().await {
+            Ok(()) => self.beside[n].back(self.play.now()),
+            Err(error) => {
+                let now = self.play.now();
+                self.play.ledger.borrow_mut().broken(Rule::Crash, now, &error.to_string());
+            }
+        }
+    }
+}
+
+/// What the way between two zones takes, one way.
+pub fn way(zones: &[Zone], latency: &Latency, from: usize, to: usize) -> Duration {
+    if from == to {
+        latency.zone
+    } else if zones[from].region == zones[to].region {
+        latency.region
+    } else {
+        latency.far
+    }
+}
+
+/// What the processes use, looked at for as long as the play lasts.
+pub async fn watch(proxies: Vec<Rc<Proxy>>, every: Duration) {
+    loop {
+        proxies.iter().for_each(|proxy| proxy.look());
+        sleep(every).await;
+    }
+}
+
+/// The rules that are kept or broken by a process itself: its limits, and that it does not end by itself.
+pub fn judge(world: &World, cores: f64, memory_mb: u64, sockets: u64, lasted: f64) {
+    let ledger: &RefCell<_> = &world.play.ledger;
+    let now = world.play.now();
+    for (n, (proxy, beside)) in world.proxies.iter().zip(&world.beside).enumerate() {
+        let (usage, taken) = (proxy.usage(), beside.was_taken(now, now));
+        let broken = |rule, how: String| ledger.borrow_mut().broken(rule, now, &how);
+        if proxy.has_ended() && !taken {
+            broken(Rule::Crash, format!("client proxy {n} has ended: {}", proxy.last_words()));
+        }
+        if usage.memory_mb > memory_mb as f64 {
+            broken(Rule::Limits, format!("client proxy {n} took {:.1} MB", usage.memory_mb));
+        }
+        if usage.descriptors > sockets as usize {
+            broken(Rule::Limits, format!("client proxy {n} held {} descriptors", usage.descriptors));
+        }
+        if usage.cpu_s > cores * lasted {
+            broken(Rule::Limits, format!("client proxy {n} took {:.2} s of CPU", usage.cpu_s));
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/fleet.rs
@@ -0,0 +1,245 @@
+//! The client proxies: the real program, one process each, as the platform starts it.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::fs;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde::Serialize;
+use serde_json::{Value, json};
+use thiserror::Error;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::scenario::{Scenario, Semantics};
+
+/// Against hanging only: a client proxy that is not ready by then never will be.
+const READY_WITHIN: Duration = Duration::from_secs(20);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+const ASK_WITHIN: Duration = Duration::from_secs(2);
+/// Of its log, the last lines are kept.
+const LINES: usize = 20;
+const PORT: u16 = 5000;
+
+/// Why the fleet cannot be played with.
+#[derive(Debug, Error)]
+pub enum FleetError {
+    /// The system does not let it start.
+    #[error("client proxy {0} does not start: {1}")]
+    Start(usize, io::Error),
+    /// It is not ready in time.
+    #[error("client proxy {0} is not ready after {READY_WITHIN:?}; its last words: {1}")]
+    Ready(usize, String),
+}
+
+/// What a client proxy took of the machine.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Usage {
+    /// In seconds, of all its processes.
+    pub cpu_s: f64,
+    /// The most at any time.
+    pub memory_mb: f64,
+    /// The most seen.
+    pub descriptors: usize,
+}
+
+/// One client proxy.
+pub struct Proxy {
+    number: usize,
+    binary: PathBuf,
+    dir: PathBuf,
+    /// Where its clients find it.
+    pub address: SocketAddr,
+    child: RefCell<Option<Child>>,
+    words: Rc<RefCell<VecDeque<String>>>,
+    usage: RefCell<Usage>,
+    /// CPU time of the processes before the present one.
+    before: RefCell<f64>,
+}
+
+/// An address of this testbed's own for a client proxy: by its process number, so that two plays do not meet.
+fn address(number: usize) -> SocketAddr {
+    let process = std::process::id();
+    let [_, _, high, low] = process.to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(127, 64 | (high & 63), low, 1 + number as u8), PORT))
+}
+
+/// What the platform tells a client proxy.
+fn config(scenario: &Scenario, number: usize, discovery: SocketAddr, seed: u64) -> Value {
+    let ms = |time: Duration| time.as_secs_f64() * 1e3;
+    let semantics = |semantics| match semantics {
+        Semantics::Safe => "safe",
+        Semantics::Keyed => "keyed",
+        Semantics::Unsafe => "unsafe",
+    };
+    let class = |c: &crate::scenario::Class| {
+        json!({"name": c.name, "aim": ms(c.aim), "hardLimit": ms(c.patience), "semantics": semantics(c.semantics),
+               "keyScope": "all", "keyTtl": 10000.0, "lateWorth": 0.0, "points": c.worth, "streamed": false})
+    };
+    let Scenario { fleet, contract, .. } = scenario;
+    let zones: Vec<&String> = scenario.zone.iter().map(|zone| &zone.name).collect();
+    json!({
+        "name": format!("n{number}"), "listen": address(number).to_string(), "discovery": discovery.to_string(),
+        "seed": format!("{:x}", seed.wrapping_mul(1_000_003) + number as u64),
+        "limits": {"cores": fleet.cores, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets},
+        "settings": {
+            "me": number, "balancers": fleet.proxies, "callers": {"marksRetry": false},
+            "classes": scenario.class.iter().map(class).collect::<Vec<_>>(),
+            "contract": {"cold": ms(contract.cold), "coldFrom": contract.cold_from,
+                         "drainGrace": ms(contract.drain_grace), "fall": ms(contract.fall),
+                         "fallMultiple": contract.fall_multiple, "graceToAnswer": 16.0},
+            "customers": [], "discovery": "automatic",
+            "kinds": scenario.kind.iter().map(|kind| &kind.name).collect::<Vec<_>>(),
+            "zones": zones, "zone": number % zones.len(), "tick": 4.0,
+            "limits": {"attemptsCap": 3, "cancelling": true, "connIdle": 10000.0, "dialTimeout": 100.0,
+                       "maxRetryAfter": 1200.0, "retryAfter": true, "secondCopies": false},
+            "report": {"fields": ["utilization"], "how": "answers"}
+        }
+    })
+}
+
+impl Proxy {
+    /// One that finds discovery there; not started yet. Its files are in a folder of its own below `dir`.
+    ///
+    /// # Errors
+    /// As the system says.
+    pub fn new(
+        scenario: &Scenario,
+        number: usize,
+        discovery: SocketAddr,
+        seed: u64,
+        binary: &Path,
+        dir: &Path,
+    ) -> io::Result<Rc<Proxy>> {
+        let dir = dir.join(format!("n{number}"));
+        fs::create_dir_all(dir.join("tmp"))?;
+        fs::write(dir.join("config.json"), config(scenario, number, discovery, seed).to_string())?;
+        Ok(Rc::new(Proxy {
+            number,
+            binary: binary.to_owned(),
+            dir,
+            address: address(number),
+            child: RefCell::default(),
+            words: Rc::default(),
+            usage: RefCell::default(),
+            before: RefCell::default(),
+        }))
+    }
+
+    /// Starts it, and waits until it is ready.
+    ///
+    /// # Errors
+    /// Where it does not start, or is not ready in time.
+    pub async fn start(&self) -> Result<(), FleetError> {
+        self.launch().map_err(|error| FleetError::Start(self.number, error))?;
+        let until = Instant::now() + READY_WITHIN;
+        while Instant::now() < until && !self.has_ended() {
+            if matches!(timeout(ASK_WITHIN, ask_ready(self.address)).await, Ok(Ok(true))) {
+                return Ok(());
+            }
+            sleep(LOOK_EVERY).await;
+        }
+        Err(FleetError::Ready(self.number, self.last_words()))
+    }
+
+    fn launch(&self) -> io::Result<()> {
+        let mut command = Command::new(&self.binary);
+        let unset = ["GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_ADMIN_ADDR", "GW_INHERITED_FD", "GW_FLEET"];
+        for name in unset {
+            command.env_remove(name);
+        }
+        command.env("GW_CONFIG", self.dir.join("config.json")).env("TMPDIR", self.dir.join("tmp"));
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
+        let mut child = command.spawn()?;
+        if let Some(log) = child.stderr.take() {
+            let words = Rc::clone(&self.words);
+            spawn_local(async move {
+                let mut lines = BufReader::new(log).lines();
+                while let Ok(Some(line)) = lines.next_line().await {
+                    let mut words = words.borrow_mut();
+                    if words.len() == LINES {
+                        words.pop_front();
+                    }
+                    words.push_back(line);
+                }
+            });
+        }
+        self.child.replace(Some(child));
+        Ok(())
+    }
+
+    /// The end of its log.
+    pub fn last_words(&self) -> String {
+        self.words.borrow().iter().cloned().collect::<Vec<_>>().join(" | ")
+    }
+
+    /// Whether its process has ended, or was never started.
+    pub fn has_ended(&self) -> bool {
+        self.child.borrow_mut().as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Sends its process a signal. One that has ended takes none.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.borrow().as_ref().and_then(Child::id);
+        if let Some(pid) = id.and_then(|id| Pid::from_raw(id as i32)) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Waits until its process has ended; whether it did in time.
+    pub async fn ended(&self, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        while !self.has_ended() {
+            if Instant::now() >= until {
+                return false;
+            }
+            sleep(LOOK_EVERY).await;
+        }
+        *self.before.borrow_mut() = self.usage.borrow().cpu_s;
+        true
+    }
+
+    /// Takes in what it uses by now.
+    pub fn look(&self) {
+        let id = self.child.borrow().as_ref().and_then(Child::id);
+        let Some(id) = id else { return };
+        let dir = PathBuf::from(format!("/proc/{id}"));
+        let mut usage = self.usage.borrow_mut();
+        if let Ok(stat) = fs::read_to_string(dir.join("stat")) {
+            // After the name, which may hold anything, in brackets.
+            let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+            let ticks = [11, 12].iter().filter_map(|n| fields.get(*n)?.parse::<f64>().ok()).sum::<f64>();
+            usage.cpu_s = *self.before.borrow() + ticks / 100.0;
+        }
+        if let Ok(status) = fs::read_to_string(dir.join("status")) {
+            let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+            let kb = most.and_then(|most| most.split_whitespace().next()?.parse::<f64>().ok());
+            usage.memory_mb = usage.memory_mb.max(kb.unwrap_or(0.0) / 1024.0);
+        }
+        if let Ok(open) = fs::read_dir(dir.join("fd")) {
+            usage.descriptors = usage.descriptors.max(open.count());
+        }
+    }
+
+    /// What it used so far.
+    pub fn usage(&self) -> Usage {
+        *self.usage.borrow()
+    }
+}
+
+async fn ask_ready(address: SocketAddr) -> io::Result<bool> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(b"GET /ready HTTP/1.1\r\nHost: origin.svc\r\nConnection: close\r\n\r\n").await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer.starts_with("HTTP/1.1 200"))
+}
--- /dev/null
+++ b/testbed/src/ledger.rs
@@ -0,0 +1,383 @@
+//! What became of each request, as the stand-ins saw it on the wire, and from that the rules and the figures. Nothing
+//! here is taken from what a client proxy says of itself.
+
+use std::collections::{BTreeMap, HashMap};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::station::Seconds;
+
+/// Names a request: its place in the ledger, which is its X-Txn too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Txn(pub usize);
+
+/// Recovered is a second that serves this part of what was served before the fault.
+const RECOVERED: f64 = 0.95;
+/// So many seconds before a fault tell what was served before it.
+const BEFORE: usize = 3;
+
+/// The rules, as the report names them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// A taken request without its final answer in time, or with a false one.
+    Lost,
+    /// A second effect, or a request that no client sent.
+    Doubled,
+    /// Two attempts out at once.
+    TwiceOut,
+    /// New work after word of a drain.
+    Drain,
+    /// A cold server pushed over.
+    Cold,
+    /// Memory, descriptors or CPU over the limit.
+    Limits,
+    /// A client proxy that ended by itself or was never ready.
+    Crash,
+}
+
+const RULES: [(Rule, &str); 7] = [
+    (Rule::Lost, "lost"),
+    (Rule::Doubled, "doubled"),
+    (Rule::TwiceOut, "twice_out"),
+    (Rule::Drain, "drain"),
+    (Rule::Cold, "cold"),
+    (Rule::Limits, "limits"),
+    (Rule::Crash, "crash"),
+];
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// 200 with what an order server made for it.
+    Served,
+    /// 429 or 503.
+    Refused,
+    /// Anything else.
+    Failed,
+    /// The client waited no longer.
+    TimedOut,
+    /// A fault of the scenario took its client proxy, or the connection to it.
+    Taken,
+}
+
+/// A request that a client means to send.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Which class.
+    pub class: usize,
+    /// Through which client proxy.
+    pub proxy: usize,
+    /// When it is meant to be sent.
+    pub meant: Seconds,
+    /// On a standard core.
+    pub work: Seconds,
+    /// The first try of what the client wants; this is one of its tries.
+    pub first: Txn,
+    /// It must run once at the most.
+    pub once: bool,
+    /// A repeat is known by its key, and answered without another effect.
+    pub keyed: bool,
+    /// What it is worth, and within which time.
+    pub worth: f64,
+    /// See `worth`.
+    pub aim: Seconds,
+}
+
+/// Whether the connection that an attempt came over is still open at the client proxy's end.
+pub type IsOpen = Box<dyn Fn() -> bool>;
+
+/// Names an attempt among those of all requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempt(Txn, u64);
+
+struct Record {
+    request: Request,
+    out: Vec<(u64, IsOpen)>,
+    attempts: u32,
+    effects: u32,
+    ended: Option<(Ending, Seconds)>,
+}
+
+/// See the module's page.
+pub struct Ledger {
+    records: Vec<Record>,
+    open: usize,
+    breaks: HashMap<&'static str, Vec<String>>,
+    /// How much later than meant a request was sent.
+    late: Histogram<u64>,
+    attempts: u64,
+    crossed: u64,
+    /// From then on requests count for figures.
+    counts_from: Seconds,
+    faults: Vec<(Seconds, String)>,
+}
+
+/// A part of the requests.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Part {
+    /// First tries that count.
+    pub requests: usize,
+    /// Of those, the part that was served in the end.
+    pub served_share: f64,
+}
+
+impl Part {
+    fn add(&mut self, served: bool) {
+        let sum = self.served_share * self.requests as f64 + f64::from(u8::from(served));
+        self.requests += 1;
+        self.served_share = sum / self.requests as f64;
+    }
+}
+
+/// The figures of a play.
+#[derive(Clone, Debug, Serialize)]
+pub struct Figures {
+    /// Each rule with the count of its breaks.
+    pub rules: HashMap<&'static str, usize>,
+    /// The first breaks in words.
+    pub breaks: Vec<String>,
+    /// First tries that count.
+    pub requests: usize,
+    /// Of those, the part that was served in the end.
+    pub served_share: f64,
+    /// The same of each class and at each client proxy, by number; reported under their names.
+    #[serde(skip)]
+    pub by_class: BTreeMap<usize, Part>,
+    /// See `by_class`.
+    #[serde(skip)]
+    pub by_proxy: BTreeMap<usize, Part>,
+    /// Of their worth, the part served within the aim.
+    pub worth_share: f64,
+    /// The least part of a second's worth.
+    pub worst_window: f64,
+    /// Refused and failed, as parts of all tries.
+    pub refused_share: f64,
+    /// See `refused_share`.
+    pub failed_share: f64,
+    /// Of answers served, from when the request was meant to be sent, in microseconds: p50, p99, p999.
+    pub latency_us: [u64; 3],
+    /// Of the attempts, those that went to another zone.
+    pub cross_zone_share: f64,
+    /// Attempts for each try.
+    pub attempts_per_request: f64,
+    /// For each fault, how long until as much was served as before it; nothing where that did not come.
+    pub recovery_ms: Vec<(String, Option<u64>)>,
+    /// The 99th percentile of how late the testbed sent, in microseconds.
+    pub testbed_late_us: u64,
+    /// Each second: when, requests meant, served, refused, failed, and the part of the worth served in time.
+    pub seconds: Vec<[f64; 6]>,
+}
+
+fn microseconds() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 600_000_000, 3).expect("bounds that are allowed")
+}
+
+impl Ledger {
+    /// Requests meant from `counts_from` on count for figures.
+    pub fn new(counts_from: Seconds) -> Ledger {
+        Ledger {
+            records: Vec::new(),
+            open: 0,
+            breaks: HashMap::new(),
+            late: microseconds(),
+            attempts: 0,
+            crossed: 0,
+            counts_from,
+            faults: Vec::new(),
+        }
+    }
+
+    /// Enters a request that is about to be sent, `late` after it was meant to be. `None` for the first try as its own.
+    pub fn enter(&mut self, mut request: Request, first: Option<Txn>, late: Seconds) -> Txn {
+        let txn = Txn(self.records.len());
+        request.first = first.unwrap_or(txn);
+        self.records.push(Record { request, out: Vec::new(), attempts: 0, effects: 0, ended: None });
+        self.open += 1;
+        self.late.saturating_record((late.max(0.0) * 1e6) as u64);
+        txn
+    }
+
+    /// A request that a client sent.
+    pub fn request(&self, txn: Txn) -> Option<&Request> {
+        self.records.get(txn.0).map(|record| &record.request)
+    }
+
+    /// A rule was broken.
+    pub fn broken(&mut self, rule: Rule, at: Seconds, how: &str) {
+        let name = RULES.iter().find(|(known, _)| *known == rule).map_or("", |(_, name)| name);
+        self.breaks.entry(name).or_default().push(format!("{at:.3} s: {name}: {how}"));
+    }
+
+    /// A fault of the scenario begins or ends.
+    pub fn fault(&mut self, at: Seconds, what: String) {
+        self.faults.push((at, what));
+    }
+
+    /// An attempt has come whole to a server; nothing for what no client sent.
+    pub fn attempt(
+        &mut self,
+        txn: Txn,
+        at: Seconds,
+        crosses: bool,
+        server: &str,
+        is_open: IsOpen,
+    ) -> Option<Attempt> {
+        let Some(record) = self.records.get_mut(txn.0) else {
+            self.broken(Rule::Doubled, at, &format!("{server} was sent {txn:?}, which no client sent"));
+            return None;
+        };
+        self.attempts += 1;
+        self.crossed += u64::from(crosses);
+        // One that was given up may still be at work in its server: its connection is closed.
+        record.out.retain(|(_, is_open)| is_open());
+        let twice = !record.out.is_empty();
+        record.attempts += 1;
+        record.out.push((self.attempts, is_open));
+        if twice {
+            self.broken(
+                Rule::TwiceOut,
+                at,
+                &format!("{txn:?} came to {server} while another attempt was out"),
+            );
+        }
+        Some(Attempt(txn, self.attempts))
+    }
+
+    /// An attempt is over: answered, or its connection has ended.
+    pub fn attempt_over(&mut self, Attempt(txn, number): Attempt) {
+        if let Some(record) = self.records.get_mut(txn.0) {
+            record.out.retain(|(other, _)| *other != number);
+        }
+    }
+
+    /// A server has done what a request wants, which counts for all tries of it.
+    pub fn effect(&mut self, txn: Txn, at: Seconds, server: &str) {
+        let Some(first) = self.request(txn).map(|request| request.first) else { return };
+        let Some(record) = self.records.get_mut(first.0) else { return };
+        record.effects += 1;
+        if record.effects > 1 && record.request.once {
+            self.broken(Rule::Doubled, at, &format!("{txn:?} ran again, on {server}"));
+        }
+    }
+
+    /// Whether some server has done what the request wants, and knows its key again.
+    pub fn is_known(&self, txn: Txn) -> bool {
+        let first = self.request(txn).and_then(|request| self.records.get(request.first.0));
+        first.is_some_and(|record| record.request.keyed && record.effects > 0)
+    }
+
+    /// Whether an attempt for it has come to a server.
+    pub fn was_sent_on(&self, txn: Txn) -> bool {
+        self.records.get(txn.0).is_some_and(|record| record.attempts > 0)
+    }
+
+    /// The client's side of a request is over.
+    pub fn ended(&mut self, txn: Txn, ending: Ending, at: Seconds) {
+        if let Some(record) = self.records.get_mut(txn.0).filter(|record| record.ended.is_none()) {
+            record.ended = Some((ending, at));
+            self.open -= 1;
+        }
+    }
+
+    /// How many requests wait for their end.
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    /// The figures of a play of `duration`.
+    pub fn figures(&self, duration: Seconds) -> Figures {
+        // A try belongs to the first one; what the client got in the end is that of its last try.
+        let mut last: HashMap<usize, &Record> = HashMap::new();
+        for record in &self.records {
+            last.insert(record.request.first.0, record);
+        }
+        let mut seconds = vec![[0.0; 6]; duration.ceil() as usize];
+        let mut worths = vec![(0.0, 0.0); seconds.len()];
+        let (mut requests, mut served, mut asked, mut earned) = (0, 0, 0.0, 0.0);
+        let mut latency = microseconds();
+        let (mut by_class, mut by_proxy) = (BTreeMap::<usize, Part>::new(), BTreeMap::<usize, Part>::new());
+        for (first, record) in &last {
+            let meant = self.records[*first].request.meant;
+            let Some(second) = seconds.get_mut(meant as usize) else { continue };
+            let Request { worth, aim, .. } = record.request;
+            let (ending, at) = record.ended.unwrap_or((Ending::TimedOut, f64::INFINITY));
+            second[0] = meant.floor();
+            second[1] += 1.0;
+            match ending {
+                Ending::Served => second[2] += 1.0,
+                Ending::Refused => second[3] += 1.0,
+                _ => second[4] += 1.0,
+            }
+            let in_time = ending == Ending::Served && at - meant <= aim;
+            let window = &mut worths[meant as usize];
+            window.0 += worth;
+            window.1 += if in_time { worth } else { 0.0 };
+            if meant < self.counts_from {
+                continue;
+            }
+            requests += 1;
+            asked += worth;
+            earned += if in_time { worth } else { 0.0 };
+            let (class, proxy) = (record.request.class, record.request.proxy);
+            by_class.entry(class).or_default().add(ending == Ending::Served);
+            by_proxy.entry(proxy).or_default().add(ending == Ending::Served);
+            if ending == Ending::Served {
+                served += 1;
+                latency.saturating_record(((at - meant) * 1e6) as u64);
+            }
+        }
+        for (second, (asked, earned)) in seconds.iter_mut().zip(&worths) {
+            second[5] = if *asked > 0.0 { earned / asked } else { 1.0 };
+        }
+        let tries: Vec<&Record> =
+            self.records.iter().filter(|r| r.request.meant >= self.counts_from).collect();
+        let part = |ending| {
+            let n = tries.iter().filter(|r| r.ended.is_some_and(|(ended, _)| ended == ending)).count();
+            n as f64 / tries.len().max(1) as f64
+        };
+        let counted = seconds.iter().skip(self.counts_from.ceil() as usize).filter(|second| second[1] > 0.0);
+        let mut breaks: Vec<String> =
+            self.breaks.values().flat_map(|said| said.iter().take(3).cloned()).collect();
+        breaks.sort();
+        Figures {
+            rules: RULES.iter().map(|(_, name)| (*name, self.breaks.get(name).map_or(0, Vec::len))).collect(),
+            breaks,
+            requests,
+            served_share: served as f64 / requests.max(1) as f64,
+            by_class,
+            by_proxy,
+            worth_share: if asked > 0.0 { earned / asked } else { 0.0 },
+            worst_window: counted.map(|second| second[5]).fold(1.0, f64::min),
+            refused_share: part(Ending::Refused),
+            failed_share: part(Ending::Failed) + part(Ending::TimedOut),
+            latency_us: [0.5, 0.99, 0.999].map(|q| latency.value_at_quantile(q)),
+            cross_zone_share: self.crossed as f64 / self.attempts.max(1) as f64,
+            attempts_per_request: self.attempts as f64 / self.records.len().max(1) as f64,
+            recovery_ms: self
+                .faults
+                .iter()
+                .map(|(at, what)| (what.clone(), recovery(&seconds, *at)))
+                .collect(),
+            testbed_late_us: self.late.value_at_quantile(0.99),
+            seconds,
+        }
+    }
+}
+
+/// How long after a fault a second serves as much as those before the fault, to a second.
+fn recovery(seconds: &[[f64; 6]], at: Seconds) -> Option<u64> {
+    let share = |second: &[f64; 6]| if second[1] > 0.0 { second[2] / second[1] } else { 1.0 };
+    let from = at as usize;
+    let before = &seconds[from.saturating_sub(BEFORE)..from.min(seconds.len())];
+    let before = before.iter().map(share).sum::<f64>() / before.len().max(1) as f64;
+    let mut worse = false;
+    for (second, shares) in seconds.iter().enumerate().skip(from) {
+        let sound = share(shares) >= RECOVERED * before;
+        if worse && sound {
+            return Some(((second as f64 - at).max(0.0) * 1e3) as u64);
+        }
+        worse |= !sound;
+    }
+    (!worse).then_some(0)
+}
--- /dev/null
+++ b/testbed/src/scenario.rs
@@ -0,0 +1,549 @@
+//! The scenario file: what is played, checked before anything starts.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+/// A day to be played. Times carry their unit (`"250ms"`); shares are parts of 1.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// What it is called in reports.
+    pub name: String,
+    /// What happens, in a sentence.
+    pub about: String,
+    /// How long clients send.
+    #[serde(with = "humantime_serde")]
+    pub duration: Duration,
+    /// Of that, what counts for rules alone.
+    #[serde(with = "humantime_serde")]
+    pub warm_up: Duration,
+    /// The client proxies.
+    pub fleet: Fleet,
+    /// The load on all of them.
+    pub load: Load,
+    /// Classes of requests.
+    pub class: Vec<Class>,
+    /// Kinds of order servers.
+    pub kind: Vec<Kind>,
+    /// Zones; client proxies and order servers are dealt out over them in turn.
+    pub zone: Vec<Zone>,
+    /// What the way between two parties takes, in each direction.
+    #[serde(default)]
+    pub latency: Latency,
+    /// Figures of the rules.
+    #[serde(default)]
+    pub contract: Contract,
+    /// What goes wrong, and when.
+    #[serde(default)]
+    pub event: Vec<Event>,
+    /// What the play has to show; rules have to hold in any case.
+    #[serde(default)]
+    pub expect: Expect,
+}
+
+/// The client proxies.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// How many.
+    pub proxies: usize,
+    /// Their limits, as their configuration has them.
+    #[serde(default = "Fleet::memory")]
+    pub memory_mb: u64,
+    /// See `memory_mb`.
+    #[serde(default = "Fleet::sockets")]
+    pub sockets: u64,
+    /// Of a core.
+    #[serde(default = "Fleet::cores")]
+    pub cores: f64,
+}
+
+impl Fleet {
+    fn memory() -> u64 {
+        64
+    }
+
+    fn sockets() -> u64 {
+        512
+    }
+
+    fn cores() -> f64 {
+        0.5
+    }
+}
+
+/// What clients send.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// Requests a second at all client proxies together, at random times.
+    pub per_second: f64,
+    /// How often a client tries once more after a refusal.
+    #[serde(default)]
+    pub retries: u32,
+    /// Bursts on top of it.
+    #[serde(default)]
+    pub burst: Vec<Burst>,
+}
+
+/// More load for a while.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    /// From then on.
+    #[serde(with = "humantime_serde")]
+    pub at: Duration,
+    /// For so long.
+    #[serde(with = "humantime_serde")]
+    pub lasts: Duration,
+    /// So many times the load.
+    pub times: f64,
+}
+
+/// Whether a request may run twice.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Semantics {
+    /// It changes nothing.
+    Safe,
+    /// A repeat under the same key is recognised.
+    Keyed,
+    /// It must run once at the most.
+    Unsafe,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// As in `X-Lane`.
+    pub name: String,
+    /// Whether it may run twice.
+    pub semantics: Semantics,
+    /// Its part of the load, against those of the others.
+    pub share: f64,
+    /// Its mean work on a standard core.
+    #[serde(with = "humantime_serde")]
+    pub work: Duration,
+    /// What an answer within the aim is worth.
+    pub worth: f64,
+    /// An answer later than this is worth nothing.
+    #[serde(with = "humantime_serde")]
+    pub aim: Duration,
+    /// How long a client waits.
+    #[serde(with = "humantime_serde")]
+    pub patience: Duration,
+}
+
+/// A kind of order servers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    /// As discovery calls it.
+    pub name: String,
+    /// How many of it there are.
+    pub servers: usize,
+    /// See [`crate::station::Shape`]; there these and the next are told.
+    pub cores: u32,
+    /// Of a standard core.
+    pub speed: f64,
+    /// Requests in work at once.
+    pub slots: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Connections that are held; those beyond are refused with 503.
+    #[serde(default = "Kind::connections")]
+    pub connections: usize,
+    /// Requests that are borne without loss of speed; as many as fit, if not told.
+    pub crowded_from: Option<u32>,
+    /// What each one beyond takes of the speed.
+    #[serde(default)]
+    pub crowding: f64,
+    /// Work that nobody waits for any more is stopped.
+    #[serde(default)]
+    pub stops_when_left: bool,
+}
+
+impl Kind {
+    fn connections() -> usize {
+        1000
+    }
+}
+
+/// A place that can fail as one.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Zone {
+    /// As discovery calls it.
+    pub name: String,
+    /// What it is part of.
+    pub region: String,
+}
+
+/// What the way takes, one way.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Latency {
+    /// Within a zone.
+    #[serde(default, with = "humantime_serde")]
+    pub zone: Duration,
+    /// Between zones of a region.
+    #[serde(default, with = "humantime_serde")]
+    pub region: Duration,
+    /// Between regions.
+    #[serde(default, with = "humantime_serde")]
+    pub far: Duration,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Contract {
+    /// The part of its capacity that a server has when it starts.
+    pub cold_from: f64,
+    /// It has all of it after so long.
+    #[serde(with = "humantime_serde")]
+    pub cold: Duration,
+    /// More than this multiple of what it can do ...
+    pub fall_multiple: f64,
+    /// ... within a window of this length pushes a cold server over.
+    #[serde(with = "humantime_serde")]
+    pub fall: Duration,
+    /// How long new work may go on after word of a drain.
+    #[serde(with = "humantime_serde")]
+    pub drain_grace: Duration,
+    /// How long after its client's time a request without an answer is lost.
+    #[serde(with = "humantime_serde")]
+    pub lost_after: Duration,
+}
+
+impl Default for Contract {
+    fn default() -> Contract {
+        Contract {
+            cold_from: 0.25,
+            cold: Duration::from_secs(8),
+            fall_multiple: 3.0,
+            fall: Duration::from_secs(2),
+            drain_grace: Duration::from_millis(1500),
+            lost_after: Duration::from_millis(550),
+        }
+    }
+}
+
+/// Something that goes wrong, or is mended.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Event {
+    /// When, from the start of the load on.
+    #[serde(with = "humantime_serde")]
+    pub at: Duration,
+    /// What happens, and to whom: `fault.cut = { servers = { zone = "a" }, lasts = "5s" }`.
+    pub fault: Fault,
+}
+
+/// Whom a fault concerns. What is left out is no bound; without any, all.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Among {
+    /// By number.
+    pub number: Option<Vec<usize>>,
+    /// Those of a zone.
+    pub zone: Option<String>,
+    /// Order servers of a kind.
+    pub kind: Option<String>,
+    /// Of those, this part, drawn by the seed.
+    pub part: Option<f64>,
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Fault {
+    /// SIGKILL to client proxies, and a start anew after the pause.
+    Kill {
+        /// Which ones.
+        #[serde(default)]
+        proxies: Among,
+        /// Until they start again; never, if not told.
+        #[serde(default, with = "humantime_serde")]
+        restart_after: Option<Duration>,
+    },
+    /// SIGSTOP to client proxies, and SIGCONT later.
+    Stop {
+        /// Which ones.
+        #[serde(default)]
+        proxies: Among,
+        /// Until they go on.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
+    /// SIGTERM to client proxies one after another, each started anew when it has ended.
+    Roll {
+        /// Which ones.
+        #[serde(default)]
+        proxies: Among,
+    },
+    /// Order servers take requests and give nothing.
+    Silent {
+        /// Which ones.
+        servers: Among,
+        /// Until they answer again.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
+    /// Order servers answer 500.
+    Error {
+        /// Which ones.
+        servers: Among,
+        /// Until they answer well again.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
+    /// Order servers work so many times slower.
+    Slow {
+        /// Which ones.
+        servers: Among,
+        /// The factor.
+        times: f64,
+        /// Until they are as before.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
+    /// Order servers do no work for a while, and then go on.
+    Pause {
+        /// Which ones.
+        servers: Among,
+        /// Until they go on.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
+    /// Machines of order servers vanish and come back cold.
+    Lose {
+        /// Which ones.
+        servers: Among,
+        /// Until discovery knows that they have gone. That they are back it knows at once.
+        #[serde(default = "known_after", with = "humantime_serde")]
+        known_after: Duration,
+        /// Until they are back.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
+    /// Order servers drain, and are gone after a while.
+    Drain {
+        /// Which ones.
+        servers: Among,
+    },
+    /// The links between client proxies and order servers give nothing.
+    Cut {
+        /// One end.
+        #[serde(default)]
+        proxies: Among,
+        /// The other.
+        #[serde(default)]
+        servers: Among,
+        /// Only between parties of different zones.
+        #[serde(default)]
+        across: bool,
+        /// Only what goes this way; both, if not told.
+        way: Option<Direction>,
+        /// Until they heal.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
+    /// All open connections between them are reset.
+    Reset {
+        /// One end.
+        #[serde(default)]
+        proxies: Among,
+        /// The other.
+        #[serde(default)]
+        servers: Among,
+    },
+    /// Discovery answers no call.
+    DiscoveryDown {
+        /// Until it does again.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
+    /// Discovery tells what was true so long ago.
+    DiscoveryStale {
+        /// How old it is.
+        #[serde(with = "humantime_serde")]
+        by: Duration,
+        /// Until it tells what is true.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
+}
+
+fn known_after() -> Duration {
+    Duration::from_secs(2)
+}
+
+/// One of the two ways of a link.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Direction {
+    /// From the client proxy to the order server.
+    Out,
+    /// Back.
+    Back,
+}
+
+/// What a play has to show.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Expect {
+    /// At least this share of the requests is served.
+    pub served_share: Option<f64>,
+    /// At least this share of the worth.
+    pub worth_share: Option<f64>,
+    /// At least this share in the worst second.
+    pub worst_window: Option<f64>,
+}
+
+/// Why a scenario cannot be played.
+#[derive(Debug, Error)]
+pub enum ScenarioError {
+    /// The file cannot be read.
+    #[error("{file}: {error}")]
+    File {
+        /// Which one.
+        file: String,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// It is not in the form of a scenario. The parser names line, key and reason.
+    #[error("{file}: {error}")]
+    Form {
+        /// Which one.
+        file: String,
+        /// Where and why.
+        error: Box<toml::de::Error>,
+    },
+    /// A value cannot be played.
+    #[error("{file}: {key}: {reason}")]
+    Value {
+        /// Which file.
+        file: String,
+        /// The key, as a path.
+        key: String,
+        /// What is wrong with it.
+        reason: &'static str,
+    },
+}
+
+fn read_table(path: &Path) -> Result<toml::Table, ScenarioError> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path);
+    let text = text.map_err(|error| ScenarioError::File { file: file.clone(), error })?;
+    text.parse().map_err(|error| ScenarioError::Form { file, error: Box::new(error) })
+}
+
+impl Scenario {
+    /// Reads and checks a scenario.
+    ///
+    /// # Errors
+    /// Names the file, the key and the reason.
+    pub fn read(path: &Path) -> Result<Scenario, ScenarioError> {
+        let file = path.display().to_string();
+        let form = |error| ScenarioError::Form { file: file.clone(), error: Box::new(error) };
+        let mut table = read_table(path)?;
+        // What it does not say itself, another one in the same folder says for it.
+        if let Some(base) = table.remove("based_on") {
+            let base = base.as_str().map(|name| path.with_file_name(name).with_extension("toml"));
+            let key = || ("based_on".to_owned(), "names no scenario");
+            let base = base.ok_or_else(key).map_err(|(key, reason)| ScenarioError::Value {
+                file: file.clone(),
+                key,
+                reason,
+            })?;
+            for (key, value) in read_table(&base)? {
+                table.entry(key).or_insert(value);
+            }
+        }
+        let scenario: Scenario = table.try_into().map_err(form)?;
+        let value = |(key, reason)| ScenarioError::Value { file: file.clone(), key, reason };
+        scenario.check().map_err(value).map(|()| scenario)
+    }
+
+    fn check(&self) -> Result<(), (String, &'static str)> {
+        let Scenario { fleet, load, class, kind, zone, contract, .. } = self;
+        let sound = |number: f64| number.is_finite() && number > 0.0;
+        let ok = |holds: bool, key: &str, reason| if holds { Ok(()) } else { Err((key.to_owned(), reason)) };
+        ok(self.warm_up < self.duration, "warm_up", "is not shorter than the duration")?;
+        ok((1..=250).contains(&fleet.proxies), "fleet.proxies", "is not 1 to 250")?;
+        ok(sound(fleet.cores), "fleet.cores", "is not above 0")?;
+        ok(sound(load.per_second), "load.per_second", "is not above 0")?;
+        ok(load.burst.iter().all(|burst| sound(burst.times)), "load.burst.times", "is not above 0")?;
+        ok(!class.is_empty(), "class", "there is none")?;
+        ok(!kind.is_empty(), "kind", "there is none")?;
+        ok(!zone.is_empty(), "zone", "there is none")?;
+        ok(class.iter().all(|class| sound(class.share)), "class.share", "is not above 0")?;
+        ok(class.iter().all(|class| sound(class.worth)), "class.worth", "is not above 0")?;
+        ok(class.iter().all(|c| !c.work.is_zero()), "class.work", "is 0")?;
+        ok(
+            class.iter().all(|c| !c.aim.is_zero() && c.aim <= c.patience),
+            "class.aim",
+            "is 0, or over the patience",
+        )?;
+        ok(kind.iter().all(|kind| sound(kind.speed)), "kind.speed", "is not above 0")?;
+        ok(kind.iter().all(|k| k.cores > 0 && k.slots > 0), "kind.slots", "there is no core or no slot")?;
+        ok(
+            kind.iter().all(|k| (0.0..1.0).contains(&k.crowding)),
+            "kind.crowding",
+            "is not from 0 to under 1",
+        )?;
+        let servers: usize = kind.iter().map(|kind| kind.servers).sum();
+        ok((1..=1000).contains(&servers), "kind.servers", "are not 1 to 1000 in all")?;
+        ok(contract.cold_from > 0.0 && contract.cold_from <= 1.0, "contract.cold_from", "is no part of 1")?;
+        let zones: BTreeSet<&String> = zone.iter().map(|zone| &zone.name).collect();
+        let kinds: BTreeSet<&String> = kind.iter().map(|kind| &kind.name).collect();
+        let classes: BTreeSet<&String> = class.iter().map(|class| &class.name).collect();
+        ok(classes.len() == class.len(), "class.name", "stands there twice")?;
+        ok(kinds.len() == kind.len(), "kind.name", "stands there twice")?;
+        ok(zones.len() == zone.len(), "zone.name", "stands there twice")?;
+        for (n, event) in self.event.iter().enumerate() {
+            let key = |part: &str| format!("event[{n}].{part}");
+            ok(event.at < self.duration, &key("at"), "is after the end")?;
+            for (whom, among, most) in event.fault.whom() {
+                let limit = if most { fleet.proxies } else { servers };
+                let numbers = among.number.iter().flatten().all(|n| *n < limit);
+                let in_zone = among.zone.as_ref().is_none_or(|name| zones.contains(name));
+                let of_kind = among.kind.as_ref().is_none_or(|name| kinds.contains(name));
+                let part = among.part.is_none_or(|part| (0.0..=1.0).contains(&part));
+                ok(numbers, &key(&format!("{whom}.number")), "there is no such one")?;
+                ok(in_zone, &key(&format!("{whom}.zone")), "there is no such zone")?;
+                ok(of_kind, &key(&format!("{whom}.kind")), "there is no such kind")?;
+                ok(part, &key(&format!("{whom}.part")), "is no part of 1")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Fault {
+    /// Whom it concerns: the key, who, and whether these are client proxies.
+    fn whom(&self) -> Vec<(&'static str, &Among, bool)> {
+        match self {
+            Fault::Kill { proxies, .. } | Fault::Stop { proxies, .. } | Fault::Roll { proxies } => {
+                vec![("proxies", proxies, true)]
+            }
+            Fault::Silent { servers, .. }
+            | Fault::Error { servers, .. }
+            | Fault::Slow { servers, .. }
+            | Fault::Pause { servers, .. }
+            | Fault::Lose { servers, .. }
+            | Fault::Drain { servers } => vec![("servers", servers, false)],
+            Fault::Cut { proxies, servers, .. } | Fault::Reset { proxies, servers } => {
+                vec![("proxies", proxies, true), ("servers", servers, false)]
+            }
+            Fault::DiscoveryDown { .. } | Fault::DiscoveryStale { .. } => Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/testbed/tests/plays.rs
@@ -0,0 +1,86 @@
+//! The testbed from outside: a small play with the real client proxy, and what it says of bad scenarios.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use serde_json::Value;
+
+/// A folder of one test's own.
+fn folder(name: &str) -> PathBuf {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{name}", std::process::id()));
+    fs::create_dir_all(&dir).expect("a folder");
+    dir
+}
+
+fn testbed(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_testbed"));
+    command.args(arguments).output().expect("the testbed starts")
+}
+
+/// The client proxy as it was built beside the testbed. Built here where only the testbed was asked for.
+fn client_proxy() -> PathBuf {
+    let built = Command::new(env!("CARGO")).args(["build", "--locked", "-p", "martensill"]).status();
+    assert!(built.expect("cargo").success());
+    PathBuf::from(env!("CARGO_BIN_EXE_testbed")).with_file_name("martensill")
+}
+
+/// Guards against a testbed that plays nothing, and against a client proxy that breaks a rule under faults: three
+/// processes, a cut link, a kill and a lost zone. No figure of it hangs on the machine's speed but the share served,
+/// of which a part is asked for that nobody misses who serves at all.
+#[test]
+fn three_client_proxies_keep_the_rules_under_faults() {
+    let (dir, binary) = (folder("small"), client_proxy());
+    let (json, binary) = (dir.join("out.json"), binary.display().to_string());
+    let (json, played) = (json.display().to_string(), ["run", "small", "--seed", "5", "--quiet"]);
+    let output = testbed(&[&played[..], &["--json", &json, "--binary", &binary]].concat());
+    let said = String::from_utf8_lossy(&output.stdout).into_owned();
+    let report: Value = serde_json::from_slice(&fs::read(&json).expect("a report")).expect("JSON");
+    for rule in ["lost", "doubled", "twice_out", "drain", "crash"] {
+        assert_eq!(report["rules"][rule], 0, "{rule}: {said}");
+    }
+    let number = |value: &Value| value.as_f64().expect("a number");
+    assert!(number(&report["requests"]) > 200.0, "{said}");
+    assert!(number(&report["served_share"]) > 0.5, "{said}");
+    assert_eq!(report["recovery_ms"].as_array().expect("faults").len(), 5, "{said}");
+    assert_eq!(report["proxies"].as_array().expect("each").len(), 3);
+    let _ = fs::remove_dir_all(dir);
+}
+
+/// Guards against an operator who has to guess what is wrong with a scenario: file, key and reason, and nothing starts.
+#[test]
+fn a_bad_scenario_is_refused_with_file_key_and_reason() {
+    let dir = folder("bad");
+    let shipped = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+    let sound = fs::read_to_string(shipped.join("small.toml")).expect("it comes with the testbed");
+    for (from, to, words) in [
+        ("proxies = 3", "proxies = 0", ["fleet.proxies", "is not 1 to 250"]),
+        ("duration = \"9s\"", "duration = \"9\"", ["duration", "expected a duration"]),
+        ("share = 0.6", "shares = 0.6", ["class", "shares"]),
+        ("zone = \"c\"", "zone = \"z\"", ["event[2].servers.zone", "there is no such zone"]),
+        ("at = \"5s\"", "at = \"50s\"", ["event[2].at", "is after the end"]),
+        ("fault.kill", "fault.murder", ["event", "murder"]),
+        ("name = \"small\"", "based_on = \"nothing\"", ["nothing.toml", "No such file"]),
+    ] {
+        assert!(sound.contains(from), "{from}");
+        let file = dir.join("bad.toml");
+        fs::write(&file, sound.replacen(from, to, 1)).expect("written");
+        let output = testbed(&["run", &file.display().to_string(), "--binary", "/nowhere"]);
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{said}");
+        assert!(words.iter().all(|word| said.contains(word)), "{to}: {said}");
+        assert!(said.contains(".toml"), "{said}");
+    }
+    let _ = fs::remove_dir_all(dir);
+}
+
+/// Guards against a scenario that ships and cannot be read.
+#[test]
+fn all_scenarios_that_come_along_can_be_played() {
+    let output = testbed(&["list"]);
+    let said = String::from_utf8_lossy(&output.stdout).into_owned();
+    let files =
+        fs::read_dir(PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("scenarios")).expect("there").count();
+    assert_eq!(said.lines().count(), files, "{said}");
+    assert!(!said.contains(".toml"), "{said}");
+}
