Compare two versions on the testbed, make a page of a play, and show that each rule can break

Need: a figure of one play says nothing about a change, and a rule that the testbed could never see broken proves nothing.

Figures by the second, class and client proxy.

--- a/testbed/src/clients.rs
+++ b/testbed/src/clients.rs
@@ -131,8 +131,10 @@
 
 enum Came {
     Answer(StatusCode, Option<Duration>, Option<Bytes>),
-    /// The connection was closed, or never came up; whether it had carried a request before.
+    /// The connection was closed; whether it had carried a request before.
     Closed(bool),
+    /// No connection came up, so nothing was taken.
+    Unreached,
 }
 
 impl Clients {
@@ -212,6 +214,7 @@
                 return (Ending::Refused, advice);
             }
             Ok(Came::Answer(..)) => (Ending::Failed, None),
+            Ok(Came::Unreached) => (Ending::Failed, None),
             Ok(Came::Closed(_)) => (Ending::Failed, Some("was closed on without an answer")),
             Err(_) => (Ending::TimedOut, Some("had no answer")),
         };
@@ -250,7 +253,7 @@
         let mut sender = match kept {
             Some(sender) => sender,
             None => {
-                let Ok(stream) = TcpStream::connect(beside.address).await else { return Came::Closed(false) };
+                let Ok(stream) = TcpStream::connect(beside.address).await else { return Came::Unreached };
                 let _ = stream.set_nodelay(true);
                 let Ok((sender, connection)) = handshake(TokioIo::new(stream)).await else {
                     return Came::Closed(false);
--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use thiserror::Error;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -42,7 +42,7 @@
 }
 
 /// What a client proxy took of the machine.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 pub struct Usage {
     /// In seconds, of all its processes.
     pub cpu_s: f64,
--- a/testbed/src/ledger.rs
+++ b/testbed/src/ledger.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use hdrhistogram::Histogram;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::station::Seconds;
 
@@ -107,14 +107,15 @@
     /// How much later than meant a request was sent.
     late: Histogram<u64>,
     attempts: u64,
-    crossed: u64,
+    /// Attempts and those to another zone, by the second.
+    ways: Vec<[u64; 2]>,
     /// From then on requests count for figures.
     counts_from: Seconds,
     faults: Vec<(Seconds, String)>,
 }
 
 /// A part of the requests.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Part {
     /// First tries that count.
     pub requests: usize,
@@ -130,11 +131,49 @@
     }
 }
 
+/// One second of a play, by when requests were meant to be sent.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Second {
+    /// Its number.
+    pub at: usize,
+    /// First tries.
+    pub asked: usize,
+    /// Of those, served in the end.
+    pub served: usize,
+    /// Refused in the end.
+    pub refused: usize,
+    /// All others.
+    pub failed: usize,
+    /// The part of their worth that was served within the aim; 1 where nothing was asked for.
+    pub worth: f64,
+    /// Of what was served, in microseconds: p50, p99.
+    pub latency_us: [u64; 2],
+    /// Attempts, and those among them to another zone.
+    pub attempts: [u64; 2],
+}
+
+impl Second {
+    fn served_share(&self) -> f64 {
+        if self.asked > 0 { self.served as f64 / self.asked as f64 } else { 1.0 }
+    }
+}
+
+/// A fault and what followed.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Recovery {
+    /// When it came.
+    pub at_s: Seconds,
+    /// What it was.
+    pub fault: String,
+    /// How long until as much was served as before it; nothing where that did not come.
+    pub ms: Option<u64>,
+}
+
 /// The figures of a play.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Figures {
     /// Each rule with the count of its breaks.
-    pub rules: HashMap<&'static str, usize>,
+    pub rules: BTreeMap<String, usize>,
     /// The first breaks in words.
     pub breaks: Vec<String>,
     /// First tries that count.
@@ -161,12 +200,12 @@
     pub cross_zone_share: f64,
     /// Attempts for each try.
     pub attempts_per_request: f64,
-    /// For each fault, how long until as much was served as before it; nothing where that did not come.
-    pub recovery_ms: Vec<(String, Option<u64>)>,
+    /// After each fault.
+    pub recovery_ms: Vec<Recovery>,
     /// The 99th percentile of how late the testbed sent, in microseconds.
     pub testbed_late_us: u64,
-    /// Each second: when, requests meant, served, refused, failed, and the part of the worth served in time.
-    pub seconds: Vec<[f64; 6]>,
+    /// Each second.
+    pub seconds: Vec<Second>,
 }
 
 fn microseconds() -> Histogram<u64> {
@@ -182,7 +221,7 @@
             breaks: HashMap::new(),
             late: microseconds(),
             attempts: 0,
-            crossed: 0,
+            ways: Vec::new(),
             counts_from,
             faults: Vec::new(),
         }
@@ -228,7 +267,12 @@
             return None;
         };
         self.attempts += 1;
-        self.crossed += u64::from(crosses);
+        let second = at.max(0.0) as usize;
+        if self.ways.len() <= second {
+            self.ways.resize(second + 1, [0; 2]);
+        }
+        let [all, crossed] = &mut self.ways[second];
+        (*all, *crossed) = (*all + 1, *crossed + u64::from(crosses));
         // One that was given up may still be at work in its server: its connection is closed.
         record.out.retain(|(_, is_open)| is_open());
         let twice = !record.out.is_empty();
@@ -292,8 +336,11 @@
         for record in &self.records {
             last.insert(record.request.first.0, record);
         }
-        let mut seconds = vec![[0.0; 6]; duration.ceil() as usize];
-        let mut worths = vec![(0.0, 0.0); seconds.len()];
+        let length = duration.ceil() as usize;
+        let mut seconds: Vec<Second> =
+            (0..length).map(|at| Second { at, worth: 1.0, ..Second::default() }).collect();
+        let mut worths = vec![(0.0, 0.0); length];
+        let mut latencies: Vec<Vec<u64>> = vec![Vec::new(); length];
         let (mut requests, mut served, mut asked, mut earned) = (0, 0, 0.0, 0.0);
         let mut latency = microseconds();
         let (mut by_class, mut by_proxy) = (BTreeMap::<usize, Part>::new(), BTreeMap::<usize, Part>::new());
@@ -302,12 +349,14 @@
             let Some(second) = seconds.get_mut(meant as usize) else { continue };
             let Request { worth, aim, .. } = record.request;
             let (ending, at) = record.ended.unwrap_or((Ending::TimedOut, f64::INFINITY));
-            second[0] = meant.floor();
-            second[1] += 1.0;
+            second.asked += 1;
             match ending {
-                Ending::Served => second[2] += 1.0,
-                Ending::Refused => second[3] += 1.0,
-                _ => second[4] += 1.0,
+                Ending::Served => {
+                    second.served += 1;
+                    latencies[meant as usize].push(((at - meant) * 1e6) as u64);
+                }
+                Ending::Refused => second.refused += 1,
+                _ => second.failed += 1,
             }
             let in_time = ending == Ending::Served && at - meant <= aim;
             let window = &mut worths[meant as usize];
@@ -327,8 +376,14 @@
                 latency.saturating_record(((at - meant) * 1e6) as u64);
             }
         }
-        for (second, (asked, earned)) in seconds.iter_mut().zip(&worths) {
-            second[5] = if *asked > 0.0 { earned / asked } else { 1.0 };
+        for ((second, (asked, earned)), latencies) in seconds.iter_mut().zip(&worths).zip(&mut latencies) {
+            if *asked > 0.0 {
+                second.worth = earned / asked;
+            }
+            latencies.sort_unstable();
+            let at = |q: f64| latencies.get((q * latencies.len() as f64) as usize).copied().unwrap_or(0);
+            second.latency_us = [at(0.5), at(0.99)];
+            second.attempts = self.ways.get(second.at).copied().unwrap_or_default();
         }
         let tries: Vec<&Record> =
             self.records.iter().filter(|r| r.request.meant >= self.counts_from).collect();
@@ -336,29 +391,34 @@
             let n = tries.iter().filter(|r| r.ended.is_some_and(|(ended, _)| ended == ending)).count();
             n as f64 / tries.len().max(1) as f64
         };
-        let counted = seconds.iter().skip(self.counts_from.ceil() as usize).filter(|second| second[1] > 0.0);
+        let counted = seconds.iter().skip(self.counts_from.ceil() as usize).filter(|second| second.asked > 0);
+        let [all, crossed] = self.ways.iter().fold([0, 0], |sum, way| [sum[0] + way[0], sum[1] + way[1]]);
         let mut breaks: Vec<String> =
             self.breaks.values().flat_map(|said| said.iter().take(3).cloned()).collect();
         breaks.sort();
+        let recovered = |(at, fault): &(Seconds, String)| Recovery {
+            at_s: *at,
+            fault: fault.clone(),
+            ms: recovery(&seconds, *at),
+        };
         Figures {
-            rules: RULES.iter().map(|(_, name)| (*name, self.breaks.get(name).map_or(0, Vec::len))).collect(),
+            rules: RULES
+                .iter()
+                .map(|(_, name)| ((*name).to_owned(), self.breaks.get(name).map_or(0, Vec::len)))
+                .collect(),
             breaks,
             requests,
             served_share: served as f64 / requests.max(1) as f64,
             by_class,
             by_proxy,
             worth_share: if asked > 0.0 { earned / asked } else { 0.0 },
-            worst_window: counted.map(|second| second[5]).fold(1.0, f64::min),
+            worst_window: counted.map(|second| second.worth).fold(1.0, f64::min),
             refused_share: part(Ending::Refused),
             failed_share: part(Ending::Failed) + part(Ending::TimedOut),
             latency_us: [0.5, 0.99, 0.999].map(|q| latency.value_at_quantile(q)),
-            cross_zone_share: self.crossed as f64 / self.attempts.max(1) as f64,
+            cross_zone_share: crossed as f64 / all.max(1) as f64,
             attempts_per_request: self.attempts as f64 / self.records.len().max(1) as f64,
-            recovery_ms: self
-                .faults
-                .iter()
-                .map(|(at, what)| (what.clone(), recovery(&seconds, *at)))
-                .collect(),
+            recovery_ms: self.faults.iter().map(recovered).collect(),
             testbed_late_us: self.late.value_at_quantile(0.99),
             seconds,
         }
@@ -366,16 +426,15 @@
 }
 
 /// How long after a fault a second serves as much as those before the fault, to a second.
-fn recovery(seconds: &[[f64; 6]], at: Seconds) -> Option<u64> {
-    let share = |second: &[f64; 6]| if second[1] > 0.0 { second[2] / second[1] } else { 1.0 };
+fn recovery(seconds: &[Second], at: Seconds) -> Option<u64> {
     let from = at as usize;
     let before = &seconds[from.saturating_sub(BEFORE)..from.min(seconds.len())];
-    let before = before.iter().map(share).sum::<f64>() / before.len().max(1) as f64;
+    let before = before.iter().map(Second::served_share).sum::<f64>() / before.len().max(1) as f64;
     let mut worse = false;
-    for (second, shares) in seconds.iter().enumerate().skip(from) {
-        let sound = share(shares) >= RECOVERED * before;
+    for second in seconds.iter().skip(from) {
+        let sound = second.served_share() >= RECOVERED * before;
         if worse && sound {
-            return Some(((second as f64 - at).max(0.0) * 1e3) as u64);
+            return Some(((second.at as f64 - at).max(0.0) * 1e3) as u64);
         }
         worse |= !sound;
     }
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -3,9 +3,11 @@
 #![warn(missing_docs)]
 
 mod clients;
+mod compare;
 mod discovery;
 mod events;
 mod fleet;
+mod html;
 mod ledger;
 mod link;
 mod run;
@@ -19,6 +21,8 @@
 
 use clap::{Parser, Subcommand};
 
+use crate::compare::{Compared, Verdict, compare};
+use crate::ledger::Recovery;
 use crate::run::{Options, Report, play};
 use crate::scenario::Scenario;
 
@@ -50,6 +54,29 @@
         #[arg(long)]
         quiet: bool,
     },
+    /// Plays a scenario with an older program and with this one in turn, with the same seeds, and says of each figure
+    /// whether it is better, worse, or noise. Ends with 1 if anything is worse.
+    Compare {
+        /// The scenario file, or the name of one that comes with the testbed.
+        scenario: PathBuf,
+        /// The older program.
+        #[arg(long)]
+        base: PathBuf,
+        /// The seeds, three or more to tell anything from chance.
+        #[arg(long, value_delimiter = ',', default_value = "1,2,3")]
+        seeds: Vec<u64>,
+        /// The program at hand; that of this repository, built anew, if not given.
+        #[arg(long)]
+        binary: Option<PathBuf>,
+    },
+    /// Makes a page of HTML of a play that was written down.
+    Report {
+        /// What `run --json` wrote.
+        json: PathBuf,
+        /// The folder that the page goes to.
+        #[arg(long)]
+        html: PathBuf,
+    },
     /// Lists the scenarios that come with the testbed.
     List,
 }
@@ -59,27 +86,91 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios")
 }
 
+type Failed = Box<dyn std::error::Error>;
+
+const NOT_PLAYED: u8 = 2;
+
 fn main() -> ExitCode {
-    match Arguments::parse().command {
+    let done = match Arguments::parse().command {
         Call::Run { scenario, seed, json, binary, quiet } => {
-            match run(&scenario, seed, json.as_deref(), binary, !quiet) {
-                Ok(report) if report.void => ExitCode::from(2),
-                Ok(report) if report.passed() => ExitCode::SUCCESS,
-                Ok(_) => ExitCode::FAILURE,
-                Err(error) => {
-                    eprintln!("testbed: {error}");
-                    ExitCode::from(2)
-                }
-            }
+            run(&scenario, seed, json.as_deref(), binary, !quiet).map(|report| match report.void {
+                true => ExitCode::from(NOT_PLAYED),
+                false => ExitCode::from(u8::from(!report.passed())),
+            })
         }
-        Call::List => match list() {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(error) => {
-                eprintln!("testbed: {}: {error}", shipped().display());
-                ExitCode::from(2)
-            }
-        },
+        Call::Compare { scenario, base, seeds, binary } => compare_versions(&scenario, &base, &seeds, binary),
+        Call::Report { json, html } => write_page(&json, &html),
+        Call::List => list().map(|()| ExitCode::SUCCESS),
+    };
+    done.unwrap_or_else(|error| {
+        eprintln!("testbed: {error}");
+        ExitCode::from(NOT_PLAYED)
+    })
+}
+
+/// One that is there, or that comes with the testbed under that name.
+fn read(scenario: &Path) -> Result<Scenario, Failed> {
+    let named = shipped().join(scenario).with_extension("toml");
+    Ok(Scenario::read(if scenario.exists() || !named.exists() { scenario } else { &named })?)
+}
+
+/// Plays once, with a folder for the files of the processes.
+fn play_once(scenario: &Scenario, binary: &Path, seed: u64, progress: bool) -> Result<Report, Failed> {
+    let dir = std::env::temp_dir().join(format!("testbed-{}", std::process::id()));
+    fs::create_dir_all(&dir)?;
+    let played = play(scenario, &Options { binary: binary.to_owned(), seed, dir: dir.clone(), progress });
+    // Left behind at worst, in the folder for what may be left behind.
+    let _ = fs::remove_dir_all(&dir);
+    Ok(played?)
+}
+
+fn compare_versions(
+    scenario: &Path,
+    base: &Path,
+    seeds: &[u64],
+    binary: Option<PathBuf>,
+) -> Result<ExitCode, Failed> {
+    let scenario = read(scenario)?;
+    let binary = binary.map_or_else(built, Ok)?;
+    let mut pairs = Vec::new();
+    for &seed in seeds {
+        // Whoever is second finds the machine as the first one left it, so they take turns at that.
+        let older_first = pairs.len() % 2 == 0;
+        let order = if older_first { [base, &binary] } else { [&binary, base] };
+        let [first, second] = order.map(|program| play_once(&scenario, program, seed, false));
+        let (first, second) = (first?, second?);
+        let (older, own) = if older_first { (first, second) } else { (second, first) };
+        for (whose, report) in [("older", &older), ("own", &own)] {
+            let Report { figures, void, .. } = report;
+            let void = if *void { "  void" } else { "" };
+            println!(
+                "seed {seed} {whose}: served {:.4}, worth {:.4}{void}",
+                figures.served_share, figures.worth_share
+            );
+        }
+        pairs.push((older, own));
+    }
+    if pairs.iter().any(|(older, own)| older.void || own.void) {
+        println!("VOID: the testbed was late");
+        return Ok(ExitCode::from(NOT_PLAYED));
     }
+    let compared = compare(&pairs);
+    println!("{:22} {:>12} {:>12} {:>18}  verdict", "", "older", "own", "ratio");
+    for Compared { name, means: [older, own], ratio, verdict } in &compared {
+        let ratio = ratio.map_or("-".to_owned(), |(mean, spread)| format!("{mean:.4} +- {spread:.4}"));
+        println!("{name:22} {older:12.4} {own:12.4} {ratio:>18}  {verdict:?}");
+    }
+    println!("paired t-test over {} seeds, two-sided at 95%", seeds.len());
+    Ok(ExitCode::from(u8::from(compared.iter().any(|figure| figure.verdict == Verdict::Worse))))
+}
+
+fn write_page(json: &Path, html: &Path) -> Result<ExitCode, Failed> {
+    let report: Report = serde_json::from_slice(&fs::read(json)?)?;
+    fs::create_dir_all(html)?;
+    let file = html.join(html::file_name(&report));
+    fs::write(&file, html::page(&report)?)?;
+    println!("{}", file.display());
+    Ok(ExitCode::SUCCESS)
 }
 
 fn run(
@@ -88,17 +179,10 @@
     json: Option<&Path>,
     binary: Option<PathBuf>,
     progress: bool,
-) -> Result<Report, Box<dyn std::error::Error>> {
-    let named = shipped().join(scenario).with_extension("toml");
-    let path = if scenario.exists() || !named.exists() { scenario } else { &named };
-    let scenario = Scenario::read(path)?;
+) -> Result<Report, Failed> {
+    let scenario = read(scenario)?;
     let binary = binary.map_or_else(built, Ok)?;
-    let dir = std::env::temp_dir().join(format!("testbed-{}", std::process::id()));
-    fs::create_dir_all(&dir)?;
-    let played = play(&scenario, &Options { binary, seed, dir: dir.clone(), progress });
-    // Left behind at worst, in the folder for what may be left behind.
-    let _ = fs::remove_dir_all(&dir);
-    let report = played?;
+    let report = play_once(&scenario, &binary, seed, progress)?;
     if let Some(json) = json {
         fs::write(json, serde_json::to_vec_pretty(&report)?)?;
     }
@@ -107,7 +191,7 @@
 }
 
 /// The client proxy of this repository: beside the testbed, and built first where cargo has started the testbed.
-fn built() -> Result<PathBuf, Box<dyn std::error::Error>> {
+fn built() -> Result<PathBuf, Failed> {
     let own = std::env::current_exe()?;
     if let Some(cargo) = std::env::var_os("CARGO") {
         let release = own.parent().is_some_and(|dir| dir.ends_with("release"));
@@ -149,9 +233,9 @@
         most(|proxy| proxy.usage.memory_mb),
         most(|proxy| proxy.usage.descriptors as f64)
     );
-    for (what, recovered) in &figures.recovery_ms {
-        let after = recovered.map_or("not recovered".to_owned(), |ms| format!("recovered after {ms} ms"));
-        println!("  {what}: {after}");
+    for Recovery { at_s, fault, ms } in &figures.recovery_ms {
+        let after = ms.map_or("not recovered".to_owned(), |ms| format!("recovered after {ms} ms"));
+        println!("  {at_s:.1} s: {fault}: {after}");
     }
     for said in figures.breaks.iter().chain(&report.missed) {
         println!("  {said}");
@@ -164,7 +248,7 @@
     println!("{verdict}");
 }
 
-fn list() -> std::io::Result<()> {
+fn list() -> Result<(), Failed> {
     let mut files: Vec<PathBuf> =
         fs::read_dir(shipped())?.filter_map(|entry| Some(entry.ok()?.path())).collect();
     files.sort();
--- a/testbed/src/run.rs
+++ b/testbed/src/run.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use rustix::process::{Resource, Rlimit, Signal, getrlimit, setrlimit};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -17,7 +17,7 @@
 use crate::discovery::Discovery;
 use crate::events::{World, judge, watch, way};
 use crate::fleet::{FleetError, Proxy, Usage};
-use crate::ledger::{Figures, Ledger, Part, Rule};
+use crate::ledger::{Figures, Ledger, Part, Rule, Second};
 use crate::link::Link;
 use crate::scenario::{Expect, Scenario};
 use crate::servers::{Play, Server, Traits};
@@ -54,7 +54,7 @@
 }
 
 /// What is reported of one client proxy.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ProxyReport {
     /// Its number.
     pub proxy: usize,
@@ -70,7 +70,7 @@
 }
 
 /// A play as it is written down.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Report {
     /// Its scenario.
     pub scenario: String,
@@ -274,7 +274,7 @@
         // A second later, when most of what was asked for is answered.
         sleep_until(play.instant(second as f64 + 1.0)).await;
         let figures = play.ledger.borrow().figures(second as f64);
-        if let Some([_, asked, served, refused, failed, worth]) = figures.seconds.last() {
+        if let Some(Second { asked, served, refused, failed, worth, .. }) = figures.seconds.last() {
             eprintln!(
                 "{second:4} s: {asked:5} asked, {served} served, {refused} refused, {failed} failed, worth {worth:.3}"
             );
--- a/testbed/tests/plays.rs
+++ b/testbed/tests/plays.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 use serde_json::Value;
 
@@ -47,6 +47,49 @@
     let _ = fs::remove_dir_all(dir);
 }
 
+/// Guards against a rule that the testbed counts but could never see broken: a client proxy that breaks it on purpose is
+/// told on, and for that rule. All of them play side by side.
+#[test]
+fn each_rule_is_seen_when_it_is_broken() {
+    let scenario = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/rules.toml").display().to_string();
+    let (dir, binary) = (folder("rules"), env!("CARGO_BIN_EXE_broken"));
+    let modes = [
+        ("lost", "lost"),
+        ("false", "lost"),
+        ("doubled", "doubled"),
+        ("twice_out", "twice_out"),
+        ("drain", "drain"),
+        ("cold", "cold"),
+        ("limits", "limits"),
+        ("crash", "crash"),
+    ];
+    let plays = modes.map(|(mode, rule)| {
+        let json = dir.join(format!("{mode}.json"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_testbed"));
+        command.args(["run", &scenario, "--quiet", "--binary", binary, "--json"]).arg(&json);
+        let play = command.env("BROKEN", mode).stdout(Stdio::null()).spawn().expect("the testbed starts");
+        (mode, rule, json, play)
+    });
+    for (mode, rule, json, mut play) in plays {
+        let code = play.wait().expect("its end").code();
+        let report: Value = serde_json::from_slice(&fs::read(&json).expect(mode)).expect("JSON");
+        let count = |rule: &str| report["rules"][rule].as_u64().expect("a count");
+        assert!(count(rule) > 0, "{mode}: {report}");
+        assert_ne!(code, Some(0), "{mode}");
+        // The others are kept, but for those that go along with it.
+        let along: &[&str] = match mode {
+            "doubled" | "twice_out" => &["doubled", "twice_out"],
+            "crash" => &["lost"],
+            _ => &[],
+        };
+        for other in ["lost", "doubled", "twice_out", "drain", "cold", "crash"] {
+            let free = other != rule && !along.contains(&other);
+            assert!(!free || count(other) == 0, "{mode} broke {other}: {}", report["breaks"]);
+        }
+    }
+    let _ = fs::remove_dir_all(dir);
+}
+
 /// Guards against an operator who has to guess what is wrong with a scenario: file, key and reason, and nothing starts.
 #[test]
 fn a_bad_scenario_is_refused_with_file_key_and_reason() {
