Give the testbed upgrades, spoilt state folders, conditions, and the measure of one client proxy

Change: `fleet.inherited` holds the clients' sockets and passes them on, `upgrade` replaces processes one after another; `folder` keeps, empties or spoils what a killed or restarted process finds; `when_served` lets an event wait for a second that serves so much; `saturate` asks one client proxy as fast as it answers. The client proxy's own part of a latency is told apart from the server's and the ways'. Chance has a module of its own.

--- a/testbed/src/clients.rs
+++ b/testbed/src/clients.rs
@@ -10,12 +10,11 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use rand_core::{Rng, SeedableRng};
-use rand_pcg::Pcg32;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
+use crate::chance::{exponential, stream, unit};
 use crate::ledger::{self, Ending, Rule, Txn};
 use crate::scenario::{Class, Scenario, Semantics};
 use crate::servers::{Play, body_of};
@@ -24,21 +23,6 @@
 /// Work has at least this part of its mean; the rest is drawn from an exponential distribution.
 const WORK_LEAST: f64 = 0.3;
 
-/// A stream of chance of its own: from the seed and a name, so that draws from one do not change another.
-pub fn chance(seed: u64, name: &str) -> Pcg32 {
-    let step = |h: u64, byte: u8| (h ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    Pcg32::seed_from_u64(name.bytes().fold(0xcbf2_9ce4_8422_2325 ^ seed, step))
-}
-
-/// From 0 to under 1.
-pub fn unit(rng: &mut Pcg32) -> f64 {
-    f64::from(rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
-}
-
-fn exponential(rng: &mut Pcg32) -> f64 {
-    -(1.0 - unit(rng)).ln()
-}
-
 /// A request that is to come.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Arrival {
@@ -54,7 +38,7 @@
 
 /// All requests of a play but for repeats, in their order. The same seed gives the same ones.
 pub fn arrivals(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
-    let mut rng = chance(seed, "arrivals");
+    let mut rng = stream(seed, "arrivals");
     let Scenario { load, class, fleet, duration, .. } = scenario;
     let most = load.burst.iter().map(|burst| burst.times).fold(1.0, f64::max);
     let shares: f64 = class.iter().map(|class| class.share).sum();
@@ -154,7 +138,7 @@
     }
 
     /// One thing that a client wants, with all its tries.
-    async fn want(self: Rc<Self>, arrival: Arrival) {
+    pub async fn want(self: Rc<Self>, arrival: Arrival) {
         let class = &self.classes[arrival.class];
         let (aim, patience) = (class.aim.as_secs_f64(), class.patience.as_secs_f64());
         let (mut meant, mut first) = (arrival.at, None);
--- a/testbed/src/events.rs
+++ b/testbed/src/events.rs
@@ -7,16 +7,19 @@
 use rand_pcg::Pcg32;
 use rustix::process::Signal;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::clients::{Beside, chance, unit};
+use crate::chance::{stream, unit};
+use crate::clients::Beside;
 use crate::discovery::Discovery;
-use crate::fleet::Proxy;
+use crate::fleet::{FleetError, Proxy};
 use crate::ledger::Rule;
 use crate::link::Link;
 use crate::scenario::{Among, Direction, Event, Fault, Latency, Zone};
 use crate::servers::{Mood, Play, Server};
 
+/// How often a condition is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// A drained server's process is gone after so long.
 const DRAINED_AFTER: Duration = Duration::from_secs(5);
 /// A client proxy that was told to end has ended by then: the longest deadline and 0.7 s, and more against hanging.
@@ -74,18 +77,38 @@
         self.drawn(among, (0..self.servers.len()).filter(fits).collect(), rng)
     }
 
+    /// The load begins at that moment.
+    pub fn begin(&self, at: Instant) {
+        self.play.begin(at);
+        self.servers.iter().for_each(|server| server.begin());
+    }
+
     /// Carries the events out, each at its time. What they do is drawn by the seed before anything happens.
     pub fn play(self: Rc<Self>, events: &[Event], seed: u64) {
         for (n, event) in events.iter().enumerate() {
             let (world, event) = (Rc::clone(&self), event.clone());
-            let rng = chance(seed, &format!("event {n}"));
+            let rng = stream(seed, &format!("event {n}"));
             spawn_local(async move {
                 sleep_until(world.play.instant(event.at.as_secs_f64())).await;
+                if let Some(share) = event.when_served {
+                    world.until_served(share).await;
+                }
                 world.carry_out(event.fault, rng).await;
             });
         }
     }
 
+    /// Waits until a second, with another one after it for the answers, has served so much.
+    async fn until_served(&self, share: f64) {
+        loop {
+            let second = self.play.now() - 2.0;
+            if self.play.ledger.borrow().served_in(second).is_some_and(|served| served >= share) {
+                return;
+            }
+            sleep(LOOK_EVERY).await;
+        }
+    }
+
     fn note(&self, what: String) {
         let now = self.play.now();
         self.play.ledger.borrow_mut().fault(now, what);
@@ -93,7 +116,7 @@
 
     async fn carry_out(self: &Rc<Self>, fault: Fault, mut rng: Pcg32) {
         match fault {
-            Fault::Kill { proxies, restart_after } => {
+            Fault::Kill { proxies, restart_after, folder } => {
                 let proxies = self.proxies(&proxies, &mut rng);
                 self.note(format!("kill {} client proxies", proxies.len()));
                 for &n in &proxies {
@@ -102,8 +125,11 @@
                 }
                 if let Some(pause) = restart_after {
                     sleep(pause).await;
-                    let starts: Vec<_> =
-                        proxies.into_iter().map(|n| spawn_local(Rc::clone(self).restart(n))).collect();
+                    let mut starts = Vec::new();
+                    for n in proxies {
+                        self.proxies[n].folder(folder, &mut rng);
+                        starts.push(spawn_local(Rc::clone(self).restart(n)));
+                    }
                     for start in starts {
                         let _ = start.await;
                     }
@@ -122,7 +148,16 @@
                     self.beside[n].back(self.play.now());
                 }
             }
-            Fault::Roll { proxies } => {
+            Fault::Upgrade { proxies } => {
+                let proxies = self.proxies(&proxies, &mut rng);
+                self.note(format!("upgrade {} client proxies", proxies.len()));
+                for n in proxies {
+                    if let Err(error) = self.proxies[n].upgrade(END_WITHIN).await {
+                        self.failed_to_start(&error);
+                    }
+                }
+            }
+            Fault::Roll { proxies, folder } => {
                 let proxies = self.proxies(&proxies, &mut rng);
                 self.note(format!("roll {} client proxies", proxies.len()));
                 for n in proxies {
@@ -131,6 +166,7 @@
                     if !self.proxies[n].ended(END_WITHIN).await {
                         self.proxies[n].signal(Signal::KILL);
                     }
+                    self.proxies[n].folder(folder, &mut rng);
                     Rc::clone(self).restart(n).await;
                 }
             }
@@ -219,12 +255,14 @@
     async fn restart(self: Rc<Self>, n: usize) {
         match self.proxies[n].start().await {
             Ok(()) => self.beside[n].back(self.play.now()),
-            Err(error) => {
-                let now = self.play.now();
-                self.play.ledger.borrow_mut().broken(Rule::Crash, now, &error.to_string());
-            }
+            Err(error) => self.failed_to_start(&error),
         }
     }
+
+    fn failed_to_start(&self, error: &FleetError) {
+        let now = self.play.now();
+        self.play.ledger.borrow_mut().broken(Rule::Crash, now, &error.to_string());
+    }
 }
 
 /// What the way between two zones takes, one way.
--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -1,15 +1,17 @@
 //! The client proxies: the real program, one process each, as the platform starts it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::fs;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand_pcg::Pcg32;
 use rustix::process::{Pid, Signal, kill_process};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -20,7 +22,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::scenario::{Scenario, Semantics};
+use crate::chance::unit;
+use crate::scenario::{Folder, Scenario, Semantics};
 
 /// Against hanging only: a client proxy that is not ready by then never will be.
 const READY_WITHIN: Duration = Duration::from_secs(20);
@@ -64,6 +67,10 @@
     usage: RefCell<Usage>,
     /// CPU time of the processes before the present one.
     before: RefCell<f64>,
+    /// The clients' listening socket, where the testbed holds it.
+    held: Option<std::net::TcpListener>,
+    /// How many processes there were.
+    starts: Cell<u16>,
 }
 
 /// An address of this testbed's own for a client proxy: by its process number, so that two plays do not meet.
@@ -132,6 +139,8 @@
             words: Rc::default(),
             usage: RefCell::default(),
             before: RefCell::default(),
+            held: scenario.fleet.inherited.then(|| hold(address(number))).transpose()?,
+            starts: Cell::new(0),
         }))
     }
 
@@ -152,13 +161,31 @@
     }
 
     fn launch(&self) -> io::Result<()> {
-        let mut command = Command::new(&self.binary);
+        let mut command = match &self.held {
+            None => {
+                let mut command = Command::new(&self.binary);
+                command.stdin(Stdio::null());
+                command
+            }
+            Some(held) => {
+                // Descriptors other than the standard ones are passed on by a shell, which the program then replaces.
+                let mut command = Command::new("sh");
+                command.args(["-c", "exec 4<&0 0</dev/null; exec \"$0\""]).arg(&self.binary);
+                command.stdin(OwnedFd::from(held.try_clone()?));
+                command
+            }
+        };
         let unset = ["GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_ADMIN_ADDR", "GW_INHERITED_FD", "GW_FLEET"];
         for name in unset {
             command.env_remove(name);
         }
         command.env("GW_CONFIG", self.dir.join("config.json")).env("TMPDIR", self.dir.join("tmp"));
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
+        self.starts.set(self.starts.get() + 1);
+        command.env("GW_ADMIN_ADDR", self.operators().to_string());
+        if self.held.is_some() {
+            command.env("GW_INHERITED_FD", "4");
+        }
+        command.stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
         let mut child = command.spawn()?;
         if let Some(log) = child.stderr.take() {
             let words = Rc::clone(&self.words);
@@ -177,6 +204,58 @@
         Ok(())
     }
 
+    /// Where its present process answers operators: each process at an address of its own.
+    fn operators(&self) -> SocketAddr {
+        SocketAddr::new(self.address.ip(), PORT + self.starts.get())
+    }
+
+    /// Replaces its process by another one while it serves. The old one is told to end when the next one is ready, and
+    /// has ended when this returns.
+    ///
+    /// # Errors
+    /// Where the next one does not start, or is not ready in time.
+    pub async fn upgrade(&self, end_within: Duration) -> Result<(), FleetError> {
+        let old = self.child.take();
+        let launched = self.launch();
+        launched.map_err(|error| FleetError::Start(self.number, error))?;
+        let until = Instant::now() + READY_WITHIN;
+        while !matches!(timeout(ASK_WITHIN, ping(self.operators())).await, Ok(Ok(true))) {
+            if Instant::now() >= until || self.has_ended() {
+                return Err(FleetError::Ready(self.number, self.last_words()));
+            }
+            sleep(LOOK_EVERY).await;
+        }
+        let Some(mut old) = old else { return Ok(()) };
+        if let Some(pid) = old.id().and_then(|id| Pid::from_raw(id as i32)) {
+            let _ = kill_process(pid, Signal::TERM);
+        }
+        if timeout(end_within, old.wait()).await.is_err() {
+            let _ = old.kill().await;
+        }
+        Ok(())
+    }
+
+    /// Puts its state folder into this state. What cannot be changed stays, which the next start shows.
+    pub fn folder(&self, folder: Folder, rng: &mut Pcg32) {
+        let dir = self.dir.join("tmp");
+        let files = fs::read_dir(&dir).into_iter().flatten().filter_map(|entry| Some(entry.ok()?.path()));
+        for file in files {
+            match folder {
+                Folder::Kept => {}
+                Folder::Emptied => drop(fs::remove_file(&file)),
+                Folder::Spoilt => {
+                    let Ok(mut bytes) = fs::read(&file) else { continue };
+                    bytes.truncate((unit(rng) * bytes.len() as f64) as usize);
+                    let at = (unit(rng) * bytes.len() as f64) as usize;
+                    if let Some(byte) = bytes.get_mut(at) {
+                        *byte ^= 1 << (unit(rng) * 8.0) as u32;
+                    }
+                    drop(fs::write(&file, bytes));
+                }
+            }
+        }
+    }
+
     /// The end of its log.
     pub fn last_words(&self) -> String {
         self.words.borrow().iter().cloned().collect::<Vec<_>>().join(" | ")
@@ -236,6 +315,24 @@
     }
 }
 
+/// Listens for a client proxy that is to take the socket over.
+fn hold(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(1024)?;
+    Ok(socket.into())
+}
+
+/// Whether the process that answers operators there is ready.
+async fn ping(operators: SocketAddr) -> io::Result<bool> {
+    let mut stream = TcpStream::connect(operators).await?;
+    stream.write_all(b"PING\n").await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer.starts_with("+OK"))
+}
+
 async fn ask_ready(address: SocketAddr) -> io::Result<bool> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(b"GET /ready HTTP/1.1\r\nHost: origin.svc\r\nConnection: close\r\n\r\n").await?;
--- a/testbed/src/ledger.rs
+++ b/testbed/src/ledger.rs
@@ -95,6 +95,10 @@
     request: Request,
     out: Vec<(u64, IsOpen)>,
     attempts: u32,
+    /// When it was sent, and when an attempt set out for a server and its answer came back, ways taken off.
+    sent: Seconds,
+    reached: Seconds,
+    answered: Option<Seconds>,
     effects: u32,
     ended: Option<(Ending, Seconds)>,
 }
@@ -196,6 +200,8 @@
     pub failed_share: f64,
     /// Of answers served, from when the request was meant to be sent, in microseconds: p50, p99, p999.
     pub latency_us: [u64; 3],
+    /// What of that was the client proxy's own, where one attempt was enough: neither the server's nor the ways'.
+    pub own_us: [u64; 3],
     /// Of the attempts, those that went to another zone.
     pub cross_zone_share: f64,
     /// Attempts for each try.
@@ -230,8 +236,18 @@
     /// Enters a request that is about to be sent, `late` after it was meant to be. `None` for the first try as its own.
     pub fn enter(&mut self, mut request: Request, first: Option<Txn>, late: Seconds) -> Txn {
         let txn = Txn(self.records.len());
+        let sent = request.meant + late;
         request.first = first.unwrap_or(txn);
-        self.records.push(Record { request, out: Vec::new(), attempts: 0, effects: 0, ended: None });
+        self.records.push(Record {
+            request,
+            out: Vec::new(),
+            attempts: 0,
+            sent,
+            reached: sent,
+            answered: None,
+            effects: 0,
+            ended: None,
+        });
         self.open += 1;
         self.late.saturating_record((late.max(0.0) * 1e6) as u64);
         txn
@@ -288,6 +304,13 @@
         Some(Attempt(txn, self.attempts))
     }
 
+    /// A server that an attempt reached at `reached` has answered it; the client proxy has the answer at `answered`.
+    pub fn answered(&mut self, txn: Txn, reached: Seconds, answered: Seconds) {
+        if let Some(record) = self.records.get_mut(txn.0) {
+            (record.reached, record.answered) = (reached, Some(answered));
+        }
+    }
+
     /// An attempt is over: answered, or its connection has ended.
     pub fn attempt_over(&mut self, Attempt(txn, number): Attempt) {
         if let Some(record) = self.records.get_mut(txn.0) {
@@ -324,6 +347,17 @@
         }
     }
 
+    /// The part of what was asked for in one second that was served by now; nothing where nothing was asked for.
+    pub fn served_in(&self, second: Seconds) -> Option<f64> {
+        let within = |record: &&Record| (second..second + 1.0).contains(&record.request.meant);
+        // The requests of one second are not far from the last ones.
+        let recent = self.records.iter().rev().take_while(|r| r.request.meant >= second - 1.0).filter(within);
+        let served = |record: &Record| matches!(record.ended, Some((Ending::Served, _)));
+        let (all, served) =
+            recent.fold((0, 0), |(all, n), record| (all + 1, n + usize::from(served(record))));
+        (all > 0).then(|| served as f64 / f64::from(all))
+    }
+
     /// How many requests wait for their end.
     pub fn open(&self) -> usize {
         self.open
@@ -342,7 +376,7 @@
         let mut worths = vec![(0.0, 0.0); length];
         let mut latencies: Vec<Vec<u64>> = vec![Vec::new(); length];
         let (mut requests, mut served, mut asked, mut earned) = (0, 0, 0.0, 0.0);
-        let mut latency = microseconds();
+        let (mut latency, mut own) = (microseconds(), microseconds());
         let (mut by_class, mut by_proxy) = (BTreeMap::<usize, Part>::new(), BTreeMap::<usize, Part>::new());
         for (first, record) in &last {
             let meant = self.records[*first].request.meant;
@@ -374,6 +408,10 @@
             if ending == Ending::Served {
                 served += 1;
                 latency.saturating_record(((at - meant) * 1e6) as u64);
+                if let Some(answered) = record.answered.filter(|_| record.attempts == 1) {
+                    let own_part = (at - record.sent) - (answered - record.reached);
+                    own.saturating_record((own_part.max(0.0) * 1e6) as u64);
+                }
             }
         }
         for ((second, (asked, earned)), latencies) in seconds.iter_mut().zip(&worths).zip(&mut latencies) {
@@ -416,6 +454,7 @@
             refused_share: part(Ending::Refused),
             failed_share: part(Ending::Failed) + part(Ending::TimedOut),
             latency_us: [0.5, 0.99, 0.999].map(|q| latency.value_at_quantile(q)),
+            own_us: [0.5, 0.99, 0.999].map(|q| own.value_at_quantile(q)),
             cross_zone_share: crossed as f64 / all.max(1) as f64,
             attempts_per_request: self.attempts as f64 / self.records.len().max(1) as f64,
             recovery_ms: self.faults.iter().map(recovered).collect(),
--- a/testbed/src/link.rs
+++ b/testbed/src/link.rs
@@ -54,6 +54,11 @@
         self.tell();
     }
 
+    /// What a byte takes at present, there and back.
+    pub fn delays(&self) -> (Duration, Duration) {
+        (self.out.delay.get(), self.back.delay.get())
+    }
+
     /// Lets nothing through any more, or everything that has come meanwhile and comes from now on.
     pub fn cut(&self, out: bool, back: bool) {
         self.out.cut.set(out);
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod chance;
 mod clients;
 mod compare;
 mod discovery;
@@ -11,6 +12,7 @@
 mod ledger;
 mod link;
 mod run;
+mod saturate;
 mod scenario;
 mod servers;
 mod station;
@@ -18,12 +20,14 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
+use std::time::Duration;
 
 use clap::{Parser, Subcommand};
 
 use crate::compare::{Compared, Verdict, compare};
 use crate::ledger::Recovery;
 use crate::run::{Options, Report, play};
+use crate::saturate::saturate;
 use crate::scenario::Scenario;
 
 /// Bad days for a fleet of client proxies.
@@ -69,6 +73,18 @@
         #[arg(long)]
         binary: Option<PathBuf>,
     },
+    /// Finds how many requests a second one client proxy serves on one core, and what it adds to each.
+    Saturate {
+        /// Clients that each ask again as soon as they have their answer.
+        #[arg(long, default_value_t = 16)]
+        clients: usize,
+        /// How long they ask, in seconds.
+        #[arg(long, default_value_t = 5)]
+        seconds: u64,
+        /// The client proxy's program; that of this repository, built anew, if not given.
+        #[arg(long)]
+        binary: Option<PathBuf>,
+    },
     /// Makes a page of HTML of a play that was written down.
     Report {
         /// What `run --json` wrote.
@@ -99,6 +115,7 @@
             })
         }
         Call::Compare { scenario, base, seeds, binary } => compare_versions(&scenario, &base, &seeds, binary),
+        Call::Saturate { clients, seconds, binary } => saturate_one(clients, seconds, binary),
         Call::Report { json, html } => write_page(&json, &html),
         Call::List => list().map(|()| ExitCode::SUCCESS),
     };
@@ -164,6 +181,18 @@
     Ok(ExitCode::from(u8::from(compared.iter().any(|figure| figure.verdict == Verdict::Worse))))
 }
 
+fn saturate_one(clients: usize, seconds: u64, binary: Option<PathBuf>) -> Result<ExitCode, Failed> {
+    let scenario = read(Path::new("saturate"))?;
+    let binary = binary.map_or_else(built, Ok)?;
+    let dir = std::env::temp_dir().join(format!("testbed-{}", std::process::id()));
+    fs::create_dir_all(&dir)?;
+    let saturated = saturate(&scenario, &binary, &dir, clients, Duration::from_secs(seconds));
+    // Left behind at worst, in the folder for what may be left behind.
+    let _ = fs::remove_dir_all(&dir);
+    println!("{}", serde_json::to_string_pretty(&saturated?)?);
+    Ok(ExitCode::SUCCESS)
+}
+
 fn write_page(json: &Path, html: &Path) -> Result<ExitCode, Failed> {
     let report: Report = serde_json::from_slice(&fs::read(json)?)?;
     fs::create_dir_all(html)?;
@@ -221,7 +250,8 @@
     );
     let [p50, p99, p999] = figures.latency_us.map(|us| us as f64 / 1e3);
     println!(
-        "latency p50 {p50:.2} ms  p99 {p99:.2}  p999 {p999:.2}  attempts {:.3}  cross-zone {:.3}  testbed late {:.2} ms",
+        "latency p50 {p50:.2} ms  p99 {p99:.2}  p999 {p999:.2}  own p99 {:.2}  attempts {:.3}  cross-zone {:.3}  testbed late {:.2} ms",
+        figures.own_us[1] as f64 / 1e3,
         figures.attempts_per_request,
         figures.cross_zone_share,
         figures.testbed_late_us as f64 / 1e3
--- a/testbed/src/run.rs
+++ b/testbed/src/run.rs
@@ -124,7 +124,10 @@
 }
 
 /// Raises the limit of descriptors as far as it goes, and counts what the scenario needs.
-fn raise_limit(scenario: &Scenario) -> Result<(), PlayError> {
+///
+/// # Errors
+/// Where there are not enough of them.
+pub fn raise_limit(scenario: &Scenario) -> Result<(), PlayError> {
     let limit = getrlimit(Resource::Nofile);
     let hard = limit.maximum.unwrap_or(u64::MAX);
     // Fails only where the limit is as it is, which the count shows.
@@ -164,6 +167,47 @@
 }
 
 async fn played(scenario: &Scenario, options: &Options) -> Result<Report, PlayError> {
+    let world = Rc::new(set_up(scenario, options).await?);
+    let play = world.play.clone();
+    let arrivals = arrivals(scenario, options.seed);
+    let begun = Instant::now() + BREATH;
+    world.begin(begun);
+    Rc::clone(&world).play(&scenario.event, options.seed);
+    spawn_local(watch(world.proxies.clone(), LOOK_EVERY));
+    if options.progress {
+        spawn_local(say(play.clone(), scenario.duration));
+    }
+    let sent = spawn_local(Clients::new(play.clone(), scenario, world.beside.clone()).send(arrivals));
+    let longest = scenario.class.iter().map(|class| class.patience).max().unwrap_or_default();
+    let settled = longest.mul_f64(1.0 + f64::from(scenario.load.retries)) + scenario.contract.lost_after;
+    sent.await.map_err(io::Error::other)?;
+    let settled = begun + scenario.duration + settled;
+    while play.ledger.borrow().open() > 0 && Instant::now() < settled {
+        sleep(LOOK_EVERY).await;
+    }
+    judge(
+        &world,
+        scenario.fleet.cores,
+        scenario.fleet.memory_mb,
+        scenario.fleet.sockets,
+        begun.elapsed().as_secs_f64(),
+    );
+    world.proxies.iter().for_each(|proxy| proxy.signal(Signal::TERM));
+    for (n, proxy) in world.proxies.iter().enumerate() {
+        if !proxy.ended(END_WITHIN).await {
+            let how = format!("client proxy {n} did not end within {END_WITHIN:?} of SIGTERM");
+            let now = play.now();
+            play.ledger.borrow_mut().broken(Rule::Crash, now, &how);
+        }
+    }
+    Ok(report(scenario, options, &play.ledger, &world))
+}
+
+/// Opens all doors, starts all client proxies, and waits until they are ready.
+///
+/// # Errors
+/// Where that fails.
+pub async fn set_up(scenario: &Scenario, options: &Options) -> Result<World, PlayError> {
     let play = Play::new(Ledger::new(scenario.warm_up.as_secs_f64()));
     let servers = servers(scenario, &play);
     let (mut links, mut addresses) = (Vec::new(), Vec::new());
@@ -195,7 +239,7 @@
         start.await.map_err(io::Error::other)??;
     }
     let beside: Vec<Rc<Beside>> = proxies.iter().map(|proxy| Rc::new(Beside::new(proxy.address))).collect();
-    let world = Rc::new(World {
+    Ok(World {
         play: play.clone(),
         proxies,
         beside,
@@ -204,40 +248,7 @@
         discovery,
         zones: scenario.zone.clone(),
         kinds,
-    });
-    let arrivals = arrivals(scenario, options.seed);
-    let begun = Instant::now() + BREATH;
-    play.begin(begun);
-    world.servers.iter().for_each(|server| server.begin());
-    Rc::clone(&world).play(&scenario.event, options.seed);
-    spawn_local(watch(world.proxies.clone(), LOOK_EVERY));
-    if options.progress {
-        spawn_local(say(play.clone(), scenario.duration));
-    }
-    let sent = spawn_local(Clients::new(play.clone(), scenario, world.beside.clone()).send(arrivals));
-    let longest = scenario.class.iter().map(|class| class.patience).max().unwrap_or_default();
-    let settled = longest.mul_f64(1.0 + f64::from(scenario.load.retries)) + scenario.contract.lost_after;
-    sent.await.map_err(io::Error::other)?;
-    let settled = begun + scenario.duration + settled;
-    while play.ledger.borrow().open() > 0 && Instant::now() < settled {
-        sleep(LOOK_EVERY).await;
-    }
-    judge(
-        &world,
-        scenario.fleet.cores,
-        scenario.fleet.memory_mb,
-        scenario.fleet.sockets,
-        begun.elapsed().as_secs_f64(),
-    );
-    world.proxies.iter().for_each(|proxy| proxy.signal(Signal::TERM));
-    for (n, proxy) in world.proxies.iter().enumerate() {
-        if !proxy.ended(END_WITHIN).await {
-            let how = format!("client proxy {n} did not end within {END_WITHIN:?} of SIGTERM");
-            let now = play.now();
-            play.ledger.borrow_mut().broken(Rule::Crash, now, &how);
-        }
-    }
-    Ok(report(scenario, options, &play.ledger, &world))
+    })
 }
 
 fn report(scenario: &Scenario, options: &Options, ledger: &RefCell<Ledger>, world: &World) -> Report {
--- a/testbed/src/scenario.rs
+++ b/testbed/src/scenario.rs
@@ -61,6 +61,9 @@
     /// Of a core.
     #[serde(default = "Fleet::cores")]
     pub cores: f64,
+    /// The testbed holds the clients' listening sockets, and passes them on to each process.
+    #[serde(default)]
+    pub inherited: bool,
 }
 
 impl Fleet {
@@ -242,6 +245,8 @@
     /// When, from the start of the load on.
     #[serde(with = "humantime_serde")]
     pub at: Duration,
+    /// Waits, from then on, until one second serves at least this part of what was asked for in it.
+    pub when_served: Option<f64>,
     /// What happens, and to whom: `fault.cut = { servers = { zone = "a" }, lasts = "5s" }`.
     pub fault: Fault,
 }
@@ -272,6 +277,9 @@
         /// Until they start again; never, if not told.
         #[serde(default, with = "humantime_serde")]
         restart_after: Option<Duration>,
+        /// What they find there.
+        #[serde(default)]
+        folder: Folder,
     },
     /// SIGSTOP to client proxies, and SIGCONT later.
     Stop {
@@ -287,6 +295,16 @@
         /// Which ones.
         #[serde(default)]
         proxies: Among,
+        /// What they find there.
+        #[serde(default)]
+        folder: Folder,
+    },
+    /// Client proxies are replaced one after another while they serve: the next process takes the clients' listening
+    /// socket over. Needs `fleet.inherited`.
+    Upgrade {
+        /// Which ones.
+        #[serde(default)]
+        proxies: Among,
     },
     /// Order servers take requests and give nothing.
     Silent {
@@ -385,6 +403,19 @@
     Duration::from_secs(2)
 }
 
+/// The state folder of a client proxy, when it starts again.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Folder {
+    /// As the last process has left it.
+    #[default]
+    Kept,
+    /// Nothing is in it.
+    Emptied,
+    /// Each file is cut short, and a byte of what is left is another one; drawn by the seed.
+    Spoilt,
+}
+
 /// One of the two ways of a link.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "snake_case")]
@@ -511,6 +542,10 @@
         for (n, event) in self.event.iter().enumerate() {
             let key = |part: &str| format!("event[{n}].{part}");
             ok(event.at < self.duration, &key("at"), "is after the end")?;
+            let upgrades = matches!(event.fault, Fault::Upgrade { .. });
+            ok(!upgrades || fleet.inherited, &key("upgrade"), "needs fleet.inherited = true")?;
+            let share = event.when_served.is_none_or(|share| (0.0..=1.0).contains(&share));
+            ok(share, &key("when_served"), "is no part of 1")?;
             for (whom, among, most) in event.fault.whom() {
                 let limit = if most { fleet.proxies } else { servers };
                 let numbers = among.number.iter().flatten().all(|n| *n < limit);
@@ -531,9 +566,10 @@
     /// Whom it concerns: the key, who, and whether these are client proxies.
     fn whom(&self) -> Vec<(&'static str, &Among, bool)> {
         match self {
-            Fault::Kill { proxies, .. } | Fault::Stop { proxies, .. } | Fault::Roll { proxies } => {
-                vec![("proxies", proxies, true)]
-            }
+            Fault::Kill { proxies, .. }
+            | Fault::Stop { proxies, .. }
+            | Fault::Roll { proxies, .. }
+            | Fault::Upgrade { proxies } => vec![("proxies", proxies, true)],
             Fault::Silent { servers, .. }
             | Fault::Error { servers, .. }
             | Fault::Slow { servers, .. }
--- a/testbed/src/servers.rs
+++ b/testbed/src/servers.rs
@@ -212,12 +212,15 @@
     /// # Errors
     /// As the system says.
     pub fn open(self: &Rc<Self>, proxy: usize, crosses: bool, link: Rc<Link>) -> io::Result<SocketAddr> {
-        let mut door = Door::open(link)?;
+        let mut door = Door::open(Rc::clone(&link))?;
         let (address, server) = (door.address(), Rc::clone(self));
         spawn_local(async move {
             loop {
                 match door.accept().await {
-                    Ok(stream) => drop(spawn_local(Rc::clone(&server).connection(stream, proxy, crosses))),
+                    Ok(stream) => {
+                        let link = Rc::clone(&link);
+                        spawn_local(Rc::clone(&server).connection(stream, proxy, crosses, link));
+                    }
                     Err(_) => sleep(ACCEPT_PAUSE).await,
                 }
             }
@@ -225,13 +228,14 @@
         Ok(address)
     }
 
-    async fn connection(self: Rc<Self>, stream: Piped, proxy: usize, crosses: bool) {
+    async fn connection(self: Rc<Self>, stream: Piped, proxy: usize, crosses: bool, link: Rc<Link>) {
         let full = self.connections.get() >= self.traits.connections;
         self.connections.set(self.connections.get() + 1);
         let is_open = stream.is_open();
         let service = service_fn(|request| {
             let (server, is_open) = (Rc::clone(&self), is_open.clone());
-            async move { Ok::<_, Infallible>(server.answer(request, proxy, crosses, full, is_open).await) }
+            let ways = link.delays();
+            async move { Ok::<_, Infallible>(server.answer(request, proxy, crosses, full, is_open, ways).await) }
         });
         // How a connection ends is seen by the attempt on it.
         let _ = Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -245,6 +249,7 @@
         crosses: bool,
         full: bool,
         is_open: impl Fn() -> bool + 'static,
+        (out, back): (Duration, Duration),
     ) -> Response<Full<Bytes>> {
         let begun = self.play.now();
         let (head, body) = request.into_parts();
@@ -255,6 +260,7 @@
         let Some(text) = text else { return plain(StatusCode::NOT_FOUND) };
         let txn = Txn(usize::from_str_radix(text, 16).unwrap_or(usize::MAX));
         let now = self.play.now();
+        let reached = now - out.as_secs_f64();
         let told = self.told.borrow().get(proxy).copied().flatten();
         let entered = {
             let mut ledger = self.play.ledger.borrow_mut();
@@ -291,6 +297,7 @@
         if !ledger.is_known(txn) {
             ledger.effect(txn, now, &self.traits.name);
         }
+        ledger.answered(txn, reached, now + back.as_secs_f64());
         drop(ledger);
         let mut response = Response::new(Full::new(Bytes::from(body_of(txn))));
         let (working, waiting) = self.station.borrow().held();
