--- a/testbed/src/events.rs
+++ b/testbed/src/events.rs
@@ -77,6 +77,14 @@
         self.drawn(among, (0..self.servers.len()).filter(fits).collect(), rng)
     }
 
+    /// The links between them; only those that cross zones, if `across`.
+    fn between(&self, proxies: &Among, servers: &Among, across: bool, rng: &mut Pcg32) -> Vec<&Link> {
+        let (proxies, servers) = (self.proxies(proxies, rng), self.servers(servers, rng));
+        let crosses = |n: usize, m: usize| self.zone_of(n) != self.servers[m].traits.zone;
+        let pairs = proxies.iter().flat_map(|&n| servers.iter().map(move |&m| (n, m)));
+        pairs.filter(|&(n, m)| !across || crosses(n, m)).map(|(n, m)| &*self.links[n][m]).collect()
+    }
+
     /// The load begins at that moment.
     pub fn begin(&self, at: Instant) {
         self.play.begin(at);
@@ -210,24 +218,42 @@
                 servers.iter().for_each(|&n| self.discovery.gone(n, true));
             }
             Fault::Cut { proxies, servers, across, way, lasts } => {
-                let (proxies, servers) = (self.proxies(&proxies, &mut rng), self.servers(&servers, &mut rng));
-                let same = |n: usize, m: usize| self.zone_of(n) == self.servers[m].traits.zone;
-                let pairs: Vec<(usize, usize)> = proxies
-                    .iter()
-                    .flat_map(|&n| servers.iter().map(move |&m| (n, m)))
-                    .filter(|&(n, m)| !across || !same(n, m))
-                    .collect();
-                self.note(format!("cut {} links", pairs.len()));
-                let (out, back) = (way != Some(Direction::Back), way != Some(Direction::Out));
-                pairs.iter().for_each(|&(n, m)| self.links[n][m].cut(out, back));
+                let links = self.between(&proxies, &servers, across, &mut rng);
+                self.note(format!("cut {} links", links.len()));
+                let (out, back) = ways(way);
+                links.iter().for_each(|link| link.cut(out, back));
+                sleep(lasts).await;
+                self.note(format!("{} links heal", links.len()));
+                links.iter().for_each(|link| link.cut(false, false));
+            }
+            Fault::Delay { proxies, servers, across, way, by, lasts } => {
+                let links = self.between(&proxies, &servers, across, &mut rng);
+                self.note(format!("{} links slower by {by:?}", links.len()));
+                let (out, back) = ways(way);
+                links.iter().for_each(|link| link.slow(by * u32::from(out), by * u32::from(back)));
+                sleep(lasts).await;
+                links.iter().for_each(|link| link.slow(Duration::ZERO, Duration::ZERO));
+            }
+            Fault::Loss { proxies, servers, across, way, part, lasts } => {
+                let links = self.between(&proxies, &servers, across, &mut rng);
+                self.note(format!("{} links lose {part}", links.len()));
+                let (out, back) = ways(way);
+                let of = |way: bool| if way { part } else { 0.0 };
+                links.iter().for_each(|link| link.lose(of(out), of(back)));
+                sleep(lasts).await;
+                links.iter().for_each(|link| link.lose(0.0, 0.0));
+            }
+            Fault::Refuse { proxies, servers, lasts } => {
+                let links = self.between(&proxies, &servers, false, &mut rng);
+                self.note(format!("{} links refuse", links.len()));
+                links.iter().for_each(|link| link.refuse(true));
                 sleep(lasts).await;
-                self.note(format!("{} links heal", pairs.len()));
-                pairs.iter().for_each(|&(n, m)| self.links[n][m].cut(false, false));
+                links.iter().for_each(|link| link.refuse(false));
             }
             Fault::Reset { proxies, servers } => {
-                let (proxies, servers) = (self.proxies(&proxies, &mut rng), self.servers(&servers, &mut rng));
-                self.note(format!("reset {} links", proxies.len() * servers.len()));
-                proxies.iter().for_each(|&n| servers.iter().for_each(|&m| self.links[n][m].reset()));
+                let links = self.between(&proxies, &servers, false, &mut rng);
+                self.note(format!("reset {} links", links.len()));
+                links.iter().for_each(|link| link.reset());
             }
             Fault::DiscoveryDown { lasts } => {
                 self.note("discovery down".to_owned());
@@ -265,6 +291,11 @@
     }
 }
 
+/// Whether a fault concerns what goes out, and what comes back.
+fn ways(way: Option<Direction>) -> (bool, bool) {
+    (way != Some(Direction::Back), way != Some(Direction::Out))
+}
+
 /// What the way between two zones takes, one way.
 pub fn way(zones: &[Zone], latency: &Latency, from: usize, to: usize) -> Duration {
     if from == to {
--- a/testbed/src/link.rs
+++ b/testbed/src/link.rs
@@ -10,12 +10,19 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
+use rand_pcg::Pcg32;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use crate::chance::unit;
+
+/// How much later a piece comes that was lost once. As TCP has it on a short way.
+const RETRANSMISSION: Duration = Duration::from_millis(200);
+/// A link that loses more than this is cut, and is to be told so.
+const LOSS_MOST: f64 = 0.9;
 /// What is under way in one direction of a connection at most.
 const UNDER_WAY: usize = 256 * 1024;
 /// What is read or written at once.
@@ -31,10 +38,19 @@
 pub struct Way {
     cut: Cell<bool>,
     delay: Cell<Duration>,
+    /// On top of it, for as long as something is wrong.
+    more: Cell<Duration>,
+    /// The part of the pieces that are lost on the way, and come later.
+    loss: Cell<f64>,
+}
+
+impl Way {
+    fn takes(&self) -> Duration {
+        self.delay.get() + self.more.get()
+    }
 }
 
 /// The link between two parties.
-#[derive(Default)]
 pub struct Link {
     /// From the one that connects.
     pub out: Way,
@@ -42,11 +58,40 @@
     pub back: Way,
     /// Grows with each reset of all connections.
     resets: Cell<u64>,
+    /// Nobody listens at the other end.
+    refused: Cell<bool>,
+    rng: RefCell<Pcg32>,
     waiting: RefCell<Vec<Waker>>,
     changed: Notify,
 }
 
 impl Link {
+    /// A link over which all comes through at once. What it loses later is drawn from `rng`.
+    pub fn new(rng: Pcg32) -> Rc<Link> {
+        let (out, back, resets, refused) = Default::default();
+        let (waiting, changed) = Default::default();
+        Rc::new(Link { out, back, resets, refused, rng: RefCell::new(rng), waiting, changed })
+    }
+
+    /// On these ways a byte takes so much more than it does when nothing is wrong.
+    pub fn slow(&self, out: Duration, back: Duration) {
+        self.out.more.set(out);
+        self.back.more.set(back);
+        self.tell();
+    }
+
+    /// This part of the pieces is lost, and comes a retransmission later; all behind it waits for it.
+    pub fn lose(&self, out: f64, back: f64) {
+        self.out.loss.set(out);
+        self.back.loss.set(back);
+    }
+
+    /// New connections are refused from now on, or no more.
+    pub fn refuse(&self, refused: bool) {
+        self.refused.set(refused);
+        self.tell();
+    }
+
     /// What a byte, or a connection, takes from now on.
     pub fn delay(&self, out: Duration, back: Duration) {
         self.out.delay.set(out);
@@ -56,7 +101,7 @@
 
     /// What a byte takes at present, there and back.
     pub fn delays(&self) -> (Duration, Duration) {
-        (self.out.delay.get(), self.back.delay.get())
+        (self.out.takes(), self.back.takes())
     }
 
     /// Lets nothing through any more, or everything that has come meanwhile and comes from now on.
@@ -99,9 +144,15 @@
         Queue { pieces: VecDeque::new(), bytes: 0, since, alarm: Box::pin(sleep_until(since)) }
     }
 
-    fn push(&mut self, way: &Way, bytes: Vec<u8>) {
+    fn push(&mut self, link: &Link, way: &Way, bytes: Vec<u8>) {
         self.bytes += bytes.len();
-        self.pieces.push_back((self.since.max(Instant::now()) + way.delay.get(), bytes));
+        let mut due = self.since.max(Instant::now()) + way.takes();
+        while way.loss.get() > 0.0 && unit(&mut link.rng.borrow_mut()) < way.loss.get().min(LOSS_MOST) {
+            due += RETRANSMISSION;
+        }
+        // In order: nothing overtakes what was sent before.
+        let due = self.pieces.back().map_or(due, |(last, _)| due.max(*last));
+        self.pieces.push_back((due, bytes));
     }
 
     /// Ready when the first piece has arrived.
@@ -148,7 +199,7 @@
         let _ = stream.set_nodelay(true);
         let resets = link.resets.get();
         // The system has made the connection at once; over the link that takes there and back.
-        let made = Instant::now() + link.out.delay.get() + link.back.delay.get();
+        let made = Instant::now() + link.out.takes() + link.back.takes();
         let stream = Rc::new(stream);
         Piped { stream, link, resets, coming: Queue::new(made), ended: false, going: Queue::new(made) }
     }
@@ -186,7 +237,7 @@
                 Ok(0) => self.ended = true,
                 Ok(read) => {
                     piece.truncate(read);
-                    self.coming.push(&self.link.out, piece);
+                    self.coming.push(&self.link, &self.link.out, piece);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(error),
@@ -229,7 +280,7 @@
             return Poll::Pending;
         }
         let taken = buf.len().min(PIECE);
-        this.going.push(&this.link.back, buf[..taken].to_vec());
+        this.going.push(&this.link, &this.link.back, buf[..taken].to_vec());
         Poll::Ready(Ok(taken))
     }
 
@@ -260,7 +311,8 @@
 
 /// An address of its own for one link.
 pub struct Door {
-    listener: TcpListener,
+    /// Nothing while connections are refused.
+    listener: Option<TcpListener>,
     address: SocketAddr,
     link: Rc<Link>,
     fillers: Vec<StdStream>,
@@ -272,11 +324,9 @@
     /// # Errors
     /// As the system says.
     pub fn open(link: Rc<Link>) -> io::Result<Door> {
-        let socket = tokio::net::TcpSocket::new_v4()?;
-        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
-        let listener = socket.listen(QUEUE as u32)?;
+        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let address = listener.local_addr()?;
-        Ok(Door { listener, address, link, fillers: Vec::new() })
+        Ok(Door { listener: Some(listener), address, link, fillers: Vec::new() })
     }
 
     /// Where it listens.
@@ -289,9 +339,19 @@
         loop {
             let link = Rc::clone(&self.link);
             let changed = link.changed.notified();
+            if self.link.refused.get() {
+                self.listener = None;
+                changed.await;
+                continue;
+            }
+            let listener = match self.listener.take() {
+                Some(listener) => listener,
+                None => listen(self.address)?,
+            };
+            let listener = self.listener.insert(listener);
             let closed = self.link.out.cut.get() || self.link.back.cut.get();
             if closed == self.fillers.is_empty() {
-                self.shut(closed)?;
+                shut(listener, self.address, &mut self.fillers, closed)?;
             }
             if closed {
                 changed.await;
@@ -300,29 +360,153 @@
             tokio::select! {
                 biased;
                 _ = changed => {}
-                accepted = self.listener.accept() => {
+                accepted = listener.accept() => {
                     // One that filled the queue is closed by now, and ends at its first use.
                     return Ok(Piped::new(accepted?.0, Rc::clone(&self.link)));
                 }
             }
         }
     }
+}
 
-    /// Fills the queue of connections, or opens it again.
-    fn shut(&mut self, shut: bool) -> io::Result<()> {
-        let socket = SockRef::from(&self.listener);
-        socket.listen(if shut { NO_QUEUE } else { QUEUE })?;
-        if !shut {
-            self.fillers.clear();
-            return Ok(());
-        }
-        for _ in 0..FILLERS {
-            let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
-            filler.set_nonblocking(true)?;
-            // Under way is enough: it takes the place as soon as there is one.
-            let _ = filler.connect(&self.address.into());
-            self.fillers.push(filler.into());
-        }
-        Ok(())
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    // For an address that was closed a moment ago.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(QUEUE as u32)
+}
+
+/// Fills the queue of connections, or opens it again.
+fn shut(
+    listener: &TcpListener,
+    address: SocketAddr,
+    fillers: &mut Vec<StdStream>,
+    shut: bool,
+) -> io::Result<()> {
+    SockRef::from(listener).listen(if shut { NO_QUEUE } else { QUEUE })?;
+    if !shut {
+        fillers.clear();
+        return Ok(());
+    }
+    for _ in 0..FILLERS {
+        let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+        filler.set_nonblocking(true)?;
+        // Under way is enough: it takes the place as soon as there is one.
+        let _ = filler.connect(&address.into());
+        fillers.push(filler.into());
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::time::timeout;
+
+    use super::*;
+    use crate::chance::stream;
+
+    /// Far longer than a connection on loopback takes, and shorter than a lost one is tried again.
+    const SOON: Duration = Duration::from_millis(300);
+
+    fn run(test: impl Future<Output = ()>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.expect("a runtime").block_on(test);
+    }
+
+    async fn joined(link: &Rc<Link>) -> (TcpStream, Piped, Door) {
+        let mut door = Door::open(Rc::clone(link)).expect("a port");
+        let address = door.address();
+        let (client, accepted) = tokio::join!(TcpStream::connect(address), door.accept());
+        (client.expect("accepted"), accepted.expect("a connection"), door)
+    }
+
+    /// Guards against a cut that answers: what is open gives nothing, in the way that is cut alone; what is new never
+    /// comes up; and what was sent meanwhile comes when the link heals.
+    #[test]
+    fn a_cut_link_gives_nothing_until_it_heals() {
+        run(async {
+            let link = Link::new(stream(1, "link"));
+            let (mut client, mut server, mut door) = joined(&link).await;
+            link.cut(true, false);
+            client.write_all(b"out").await.expect("taken by the system");
+            let mut three = [0; 3];
+            let cut = timeout(SOON, server.read_exact(&mut three)).await;
+            assert!(cut.is_err(), "cut on the way out");
+            server.write_all(b"back").await.expect("written");
+            server.flush().await.expect("the way back is open");
+            let mut four = [0; 4];
+            client.read_exact(&mut four).await.expect("the way back is open");
+            // The door sees the cut when it is looked at.
+            let address = door.address();
+            tokio::select! {
+                biased;
+                _ = door.accept() => panic!("accepted over a cut link"),
+                _ = tokio::time::sleep(SOON) => {}
+            }
+            let connects = timeout(SOON, TcpStream::connect(address)).await;
+            assert!(connects.is_err(), "{connects:?}");
+            link.cut(false, false);
+            server.read_exact(&mut three).await.expect("sent before");
+            assert_eq!(&three, b"out");
+        });
+    }
+
+    /// Guards against a reset that looks like an end, and a refusal that looks like a cut.
+    #[test]
+    fn links_reset_and_refuse() {
+        run(async {
+            let link = Link::new(stream(1, "link"));
+            let (mut client, mut server, mut door) = joined(&link).await;
+            link.reset();
+            assert!(server.read(&mut [0; 1]).await.is_err());
+            drop(server);
+            let error = client.read(&mut [0; 1]).await.expect_err("reset");
+            assert_eq!(error.kind(), io::ErrorKind::ConnectionReset);
+            let address = door.address();
+            link.refuse(true);
+            tokio::select! {
+                biased;
+                _ = door.accept() => panic!("accepted where nobody listens"),
+                _ = tokio::task::yield_now() => {}
+            }
+            let error = TcpStream::connect(address).await.expect_err("refused");
+            assert_eq!(error.kind(), io::ErrorKind::ConnectionRefused);
+            link.refuse(false);
+            // Listens again once it is looked at, under the same address.
+            let again = async {
+                loop {
+                    if let Ok(stream) = TcpStream::connect(address).await {
+                        return stream;
+                    }
+                    tokio::task::yield_now().await;
+                }
+            };
+            let (accepted, _client) = tokio::join!(door.accept(), again);
+            assert!(accepted.is_ok());
+        });
+    }
+
+    /// Guards against a delay that is none, and one that lets later pieces overtake earlier ones.
+    #[test]
+    fn what_is_under_way_comes_late_and_in_order() {
+        run(async {
+            const DELAY: Duration = Duration::from_millis(1000);
+            let link = Link::new(stream(1, "link"));
+            link.delay(DELAY, Duration::ZERO);
+            let (mut client, mut server, _door) = joined(&link).await;
+            let sent = Instant::now();
+            client.write_all(b"first").await.expect("written");
+            let mut five = [0; 5];
+            let early = timeout(DELAY / 20, server.read_exact(&mut five)).await;
+            assert!(early.is_err(), "it is under way");
+            link.delay(Duration::ZERO, Duration::ZERO);
+            client.write_all(b"again").await.expect("written");
+            let mut all = [0; 10];
+            server.read_exact(&mut all).await.expect("both");
+            assert_eq!(&all, b"firstagain");
+            assert!(sent.elapsed() >= DELAY);
+        });
     }
 }
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -54,6 +54,9 @@
         /// The client proxy's program; that of this repository, built anew, if not given.
         #[arg(long)]
         binary: Option<PathBuf>,
+        /// So many times the client proxies, order servers and requests.
+        #[arg(long, default_value_t = 1)]
+        times: usize,
         /// Says nothing while it plays.
         #[arg(long)]
         quiet: bool,
@@ -69,6 +72,9 @@
         /// The seeds, three or more to tell anything from chance.
         #[arg(long, value_delimiter = ',', default_value = "1,2,3")]
         seeds: Vec<u64>,
+        /// So many times the client proxies, order servers and requests.
+        #[arg(long, default_value_t = 1)]
+        times: usize,
         /// The program at hand; that of this repository, built anew, if not given.
         #[arg(long)]
         binary: Option<PathBuf>,
@@ -108,13 +114,17 @@
 
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
-        Call::Run { scenario, seed, json, binary, quiet } => {
-            run(&scenario, seed, json.as_deref(), binary, !quiet).map(|report| match report.void {
+        Call::Run { scenario, seed, json, binary, times, quiet } => {
+            let played =
+                read(&scenario, times).and_then(|day| run(&day, seed, json.as_deref(), binary, !quiet));
+            played.map(|report| match report.void {
                 true => ExitCode::from(NOT_PLAYED),
                 false => ExitCode::from(u8::from(!report.passed())),
             })
         }
-        Call::Compare { scenario, base, seeds, binary } => compare_versions(&scenario, &base, &seeds, binary),
+        Call::Compare { scenario, base, seeds, binary, times } => {
+            compare_versions(&scenario, &base, &seeds, binary, times)
+        }
         Call::Saturate { clients, seconds, binary } => saturate_one(clients, seconds, binary),
         Call::Report { json, html } => write_page(&json, &html),
         Call::List => list().map(|()| ExitCode::SUCCESS),
@@ -126,9 +136,10 @@
 }
 
 /// One that is there, or that comes with the testbed under that name.
-fn read(scenario: &Path) -> Result<Scenario, Failed> {
+fn read(scenario: &Path, times: usize) -> Result<Scenario, Failed> {
     let named = shipped().join(scenario).with_extension("toml");
-    Ok(Scenario::read(if scenario.exists() || !named.exists() { scenario } else { &named })?)
+    let path = if scenario.exists() || !named.exists() { scenario } else { &named };
+    Ok(Scenario::read(path)?.scaled(times, &path.display().to_string())?)
 }
 
 /// Plays once, with a folder for the files of the processes.
@@ -146,8 +157,9 @@
     base: &Path,
     seeds: &[u64],
     binary: Option<PathBuf>,
+    times: usize,
 ) -> Result<ExitCode, Failed> {
-    let scenario = read(scenario)?;
+    let scenario = read(scenario, times)?;
     let binary = binary.map_or_else(built, Ok)?;
     let mut pairs = Vec::new();
     for &seed in seeds {
@@ -182,7 +194,7 @@
 }
 
 fn saturate_one(clients: usize, seconds: u64, binary: Option<PathBuf>) -> Result<ExitCode, Failed> {
-    let scenario = read(Path::new("saturate"))?;
+    let scenario = read(Path::new("saturate"), 1)?;
     let binary = binary.map_or_else(built, Ok)?;
     let dir = std::env::temp_dir().join(format!("testbed-{}", std::process::id()));
     fs::create_dir_all(&dir)?;
@@ -203,15 +215,14 @@
 }
 
 fn run(
-    scenario: &Path,
+    scenario: &Scenario,
     seed: u64,
     json: Option<&Path>,
     binary: Option<PathBuf>,
     progress: bool,
 ) -> Result<Report, Failed> {
-    let scenario = read(scenario)?;
     let binary = binary.map_or_else(built, Ok)?;
-    let report = play_once(&scenario, &binary, seed, progress)?;
+    let report = play_once(scenario, &binary, seed, progress)?;
     if let Some(json) = json {
         fs::write(json, serde_json::to_vec_pretty(&report)?)?;
     }
--- a/testbed/src/run.rs
+++ b/testbed/src/run.rs
@@ -13,6 +13,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::chance::stream;
 use crate::clients::{Beside, Clients, arrivals};
 use crate::discovery::Discovery;
 use crate::events::{World, judge, watch, way};
@@ -216,7 +217,8 @@
         let mut row: Vec<Rc<Link>> = Vec::new();
         let mut known = Vec::new();
         for server in &servers {
-            let link = Rc::new(Link::default());
+            let name = format!("link {proxy} {}", server.traits.name);
+            let link = Link::new(stream(options.seed, &name));
             let takes = way(&scenario.zone, &scenario.latency, own, server.traits.zone);
             link.delay(takes, takes);
             known.push(server.open(proxy, own != server.traits.zone, Rc::clone(&link))?);
@@ -230,7 +232,8 @@
     let discovery = Discovery::new(play.clone(), servers.clone(), zones, kinds.clone(), addresses);
     let mut proxies = Vec::new();
     for number in 0..scenario.fleet.proxies {
-        let told = discovery.open(number, Rc::new(Link::default()))?;
+        let link = Link::new(stream(options.seed, &format!("link {number} discovery")));
+        let told = discovery.open(number, link)?;
         proxies.push(Proxy::new(scenario, number, told, options.seed, &options.binary, &options.dir)?);
     }
     let starts: Vec<_> =
--- a/testbed/src/scenario.rs
+++ b/testbed/src/scenario.rs
@@ -373,6 +373,57 @@
         #[serde(with = "humantime_serde")]
         lasts: Duration,
     },
+    /// What goes over the links takes longer.
+    Delay {
+        /// One end.
+        #[serde(default)]
+        proxies: Among,
+        /// The other.
+        #[serde(default)]
+        servers: Among,
+        /// Only between parties of different zones.
+        #[serde(default)]
+        across: bool,
+        /// Only what goes this way; both, if not told.
+        way: Option<Direction>,
+        /// By so much.
+        #[serde(with = "humantime_serde")]
+        by: Duration,
+        /// Until it is as before.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
+    /// Links lose a part of what goes over them, which comes a retransmission later.
+    Loss {
+        /// One end.
+        #[serde(default)]
+        proxies: Among,
+        /// The other.
+        #[serde(default)]
+        servers: Among,
+        /// Only between parties of different zones.
+        #[serde(default)]
+        across: bool,
+        /// Only what goes this way; both, if not told.
+        way: Option<Direction>,
+        /// Of the pieces.
+        part: f64,
+        /// Until nothing is lost any more.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
+    /// New connections are refused.
+    Refuse {
+        /// One end.
+        #[serde(default)]
+        proxies: Among,
+        /// The other.
+        #[serde(default)]
+        servers: Among,
+        /// Until they are taken again.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
     /// All open connections between them are reset.
     Reset {
         /// One end.
@@ -503,6 +554,19 @@
         scenario.check().map_err(value).map(|()| scenario)
     }
 
+    /// The same day with so many times the client proxies, order servers and requests. Whom faults concern by number
+    /// stays as it is; parts, zones and kinds grow along.
+    ///
+    /// # Errors
+    /// Where that is more than can be played.
+    pub fn scaled(mut self, times: usize, file: &str) -> Result<Scenario, ScenarioError> {
+        self.fleet.proxies *= times;
+        self.load.per_second *= times as f64;
+        self.kind.iter_mut().for_each(|kind| kind.servers *= times);
+        let value = |(key, reason)| ScenarioError::Value { file: file.to_owned(), key, reason };
+        self.check().map_err(value).map(|()| self)
+    }
+
     fn check(&self) -> Result<(), (String, &'static str)> {
         let Scenario { fleet, load, class, kind, zone, contract, .. } = self;
         let sound = |number: f64| number.is_finite() && number > 0.0;
@@ -544,6 +608,8 @@
             ok(event.at < self.duration, &key("at"), "is after the end")?;
             let upgrades = matches!(event.fault, Fault::Upgrade { .. });
             ok(!upgrades || fleet.inherited, &key("upgrade"), "needs fleet.inherited = true")?;
+            let part = !matches!(&event.fault, Fault::Loss { part, .. } if !(0.0..=0.9).contains(part));
+            ok(part, &key("loss.part"), "is not from 0 to 0.9")?;
             let share = event.when_served.is_none_or(|share| (0.0..=1.0).contains(&share));
             ok(share, &key("when_served"), "is no part of 1")?;
             for (whom, among, most) in event.fault.whom() {
@@ -576,7 +642,11 @@
             | Fault::Pause { servers, .. }
             | Fault::Lose { servers, .. }
             | Fault::Drain { servers } => vec![("servers", servers, false)],
-            Fault::Cut { proxies, servers, .. } | Fault::Reset { proxies, servers } => {
+            Fault::Cut { proxies, servers, .. }
+            | Fault::Delay { proxies, servers, .. }
+            | Fault::Loss { proxies, servers, .. }
+            | Fault::Refuse { proxies, servers, .. }
+            | Fault::Reset { proxies, servers } => {
                 vec![("proxies", proxies, true), ("servers", servers, false)]
             }
             Fault::DiscoveryDown { .. } | Fault::DiscoveryStale { .. } => Vec::new(),
