Let the tests of delays and resets fail where there is none

Symptom: with the delay of a piece taken out its test still passed, since the connection itself was opened late by as much; with the reset taken out it hung instead of failing. Change: the delay is set once the connection is up; the wait for the reset has an end. Both were seen to fail.

--- a/testbed/src/link.rs
+++ b/testbed/src/link.rs
@@ -410,6 +410,9 @@
     /// Far longer than a connection on loopback takes, and shorter than a lost one is tried again.
     const SOON: Duration = Duration::from_millis(300);
 
+    /// Reached only where something hangs.
+    const HANG: Duration = Duration::from_secs(20);
+
     fn run(test: impl Future<Output = ()>) {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         runtime.expect("a runtime").block_on(test);
@@ -460,7 +463,8 @@
             let link = Link::new(stream(1, "link"));
             let (mut client, mut server, mut door) = joined(&link).await;
             link.reset();
-            assert!(server.read(&mut [0; 1]).await.is_err());
+            let read = timeout(HANG, server.read(&mut [0; 1])).await;
+            assert!(read.expect("an end").is_err());
             drop(server);
             let error = client.read(&mut [0; 1]).await.expect_err("reset");
             assert_eq!(error.kind(), io::ErrorKind::ConnectionReset);
@@ -494,8 +498,8 @@
         run(async {
             const DELAY: Duration = Duration::from_millis(1000);
             let link = Link::new(stream(1, "link"));
-            link.delay(DELAY, Duration::ZERO);
             let (mut client, mut server, _door) = joined(&link).await;
+            link.delay(DELAY, Duration::ZERO);
             let sent = Instant::now();
             client.write_all(b"first").await.expect("written");
             let mut five = [0; 5];
