--- a/testbed/src/run.rs
+++ b/testbed/src/run.rs
@@ -10,6 +10,7 @@
 use rustix::process::{Resource, Rlimit, Signal, getrlimit, setrlimit};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -119,11 +120,23 @@
     LocalSet::new().block_on(&runtime, async {
         tokio::select! {
             played = played(scenario, options) => played,
-            _ = tokio::signal::ctrl_c() => Err(io::Error::from(io::ErrorKind::Interrupted).into()),
+            ended = told_to_end() => Err(ended.into()),
         }
     })
 }
 
+/// Waits for Ctrl-C or SIGTERM: the processes go with what waits for them.
+pub async fn told_to_end() -> io::Error {
+    match signal(SignalKind::terminate()) {
+        Ok(mut terminate) => tokio::select! {
+            _ = terminate.recv() => {}
+            _ = tokio::signal::ctrl_c() => {}
+        },
+        Err(error) => return error,
+    }
+    io::ErrorKind::Interrupted.into()
+}
+
 /// Raises the limit of descriptors as far as it goes, and counts what the scenario needs.
 ///
 /// # Errors
--- a/testbed/src/saturate.rs
+++ b/testbed/src/saturate.rs
@@ -2,7 +2,6 @@
 //! answer, and what the process takes for it.
 
 use std::cell::Cell;
-use std::io;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,7 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::clients::{Arrival, Clients};
-use crate::run::{Options, PlayError, raise_limit, set_up};
+use crate::run::{Options, PlayError, raise_limit, set_up, told_to_end};
 use crate::scenario::Scenario;
 use crate::servers::Mood;
 
@@ -59,7 +58,7 @@
     LocalSet::new().block_on(&runtime, async {
         tokio::select! {
             done = measured(scenario, &options, clients, lasts) => done,
-            _ = tokio::signal::ctrl_c() => Err(io::Error::from(io::ErrorKind::Interrupted).into()),
+            ended = told_to_end() => Err(ended.into()),
         }
     })
 }
--- a/testbed/tests/plays.rs
+++ b/testbed/tests/plays.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::path::PathBuf;
 use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
@@ -18,6 +19,15 @@
     command.args(arguments).output().expect("the testbed starts")
 }
 
+/// Waits for it. The one time limit is against hanging.
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < Duration::from_secs(30), "waited for in vain: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// The client proxy as it was built beside the testbed. Built here where only the testbed was asked for.
 fn client_proxy() -> PathBuf {
     let built = Command::new(env!("CARGO")).args(["build", "--locked", "-p", "martensill"]).status();
@@ -117,6 +127,33 @@
     let _ = fs::remove_dir_all(dir);
 }
 
+/// Guards against client proxies that go on when the testbed is told to end.
+#[test]
+fn no_client_proxy_is_left_when_the_testbed_is_ended() {
+    let scenario = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/rules.toml").display().to_string();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_testbed"));
+    command.args(["run", &scenario, "--quiet", "--binary", env!("CARGO_BIN_EXE_broken")]);
+    let mut play = command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("the testbed starts");
+    let parent = play.id().to_string();
+    let is_child = |process: &PathBuf| {
+        let stat = fs::read_to_string(process.join("stat")).unwrap_or_default();
+        stat.rsplit(')').next().and_then(|rest| rest.split(' ').nth(2)) == Some(parent.as_str())
+    };
+    let mut children = Vec::new();
+    until("three client proxies run", || {
+        let processes = fs::read_dir("/proc").expect("there").filter_map(|entry| Some(entry.ok()?.path()));
+        children = processes.filter(is_child).collect();
+        children.len() == 3
+    });
+    let ended = Command::new("kill").arg(play.id().to_string()).status().expect("a signal");
+    assert!(ended.success());
+    let code = play.wait().expect("its end").code();
+    assert_eq!(code, Some(2), "told to end, it says that it was not played");
+    // One that has ended and that nobody has waited for yet has no program any more.
+    let runs = |process: &PathBuf| fs::read_link(process.join("exe")).is_ok();
+    until("they have ended", || !children.iter().any(runs));
+}
+
 /// Guards against a scenario that ships and cannot be read.
 #[test]
 fn all_scenarios_that_come_along_can_be_played() {
