Name the links that a fault of the testbed concerns in one place

Need: cut, delay, loss, refuse and reset each told their two ends by four keys of their own, the same text five times.

--- a/testbed/src/events.rs
+++ b/testbed/src/events.rs
@@ -15,7 +15,7 @@
 use crate::fleet::{FleetError, Proxy};
 use crate::ledger::Rule;
 use crate::link::Link;
-use crate::scenario::{Among, Direction, Event, Fault, Latency, Zone};
+use crate::scenario::{Among, Direction, Event, Fault, Latency, Links, Zone};
 use crate::servers::{Mood, Play, Server};
 
 /// How often a condition is looked at.
@@ -77,12 +77,11 @@
         self.drawn(among, (0..self.servers.len()).filter(fits).collect(), rng)
     }
 
-    /// The links between them; only those that cross zones, if `across`.
-    fn between(&self, proxies: &Among, servers: &Among, across: bool, rng: &mut Pcg32) -> Vec<&Link> {
-        let (proxies, servers) = (self.proxies(proxies, rng), self.servers(servers, rng));
+    fn between(&self, links: &Links, rng: &mut Pcg32) -> Vec<&Link> {
+        let (proxies, servers) = (self.proxies(&links.proxies, rng), self.servers(&links.servers, rng));
         let crosses = |n: usize, m: usize| self.zone_of(n) != self.servers[m].traits.zone;
         let pairs = proxies.iter().flat_map(|&n| servers.iter().map(move |&m| (n, m)));
-        pairs.filter(|&(n, m)| !across || crosses(n, m)).map(|(n, m)| &*self.links[n][m]).collect()
+        pairs.filter(|&(n, m)| !links.across || crosses(n, m)).map(|(n, m)| &*self.links[n][m]).collect()
     }
 
     /// The load begins at that moment.
@@ -217,41 +216,38 @@
                 sleep(DRAINED_AFTER).await;
                 servers.iter().for_each(|&n| self.discovery.gone(n, true));
             }
-            Fault::Cut { proxies, servers, across, way, lasts } => {
-                let links = self.between(&proxies, &servers, across, &mut rng);
+            Fault::Cut { links, lasts } => {
+                let ((out, back), links) = (ways(links.way), self.between(&links, &mut rng));
                 self.note(format!("cut {} links", links.len()));
-                let (out, back) = ways(way);
                 links.iter().for_each(|link| link.cut(out, back));
                 sleep(lasts).await;
                 self.note(format!("{} links heal", links.len()));
                 links.iter().for_each(|link| link.cut(false, false));
             }
-            Fault::Delay { proxies, servers, across, way, by, lasts } => {
-                let links = self.between(&proxies, &servers, across, &mut rng);
+            Fault::Delay { links, by, lasts } => {
+                let ((out, back), links) = (ways(links.way), self.between(&links, &mut rng));
                 self.note(format!("{} links slower by {by:?}", links.len()));
-                let (out, back) = ways(way);
                 links.iter().for_each(|link| link.slow(by * u32::from(out), by * u32::from(back)));
                 sleep(lasts).await;
                 links.iter().for_each(|link| link.slow(Duration::ZERO, Duration::ZERO));
             }
-            Fault::Loss { proxies, servers, across, way, part, lasts } => {
-                let links = self.between(&proxies, &servers, across, &mut rng);
+            Fault::Loss { links, part, lasts } => {
+                let ((out, back), links) = (ways(links.way), self.between(&links, &mut rng));
                 self.note(format!("{} links lose {part}", links.len()));
-                let (out, back) = ways(way);
                 let of = |way: bool| if way { part } else { 0.0 };
                 links.iter().for_each(|link| link.lose(of(out), of(back)));
                 sleep(lasts).await;
                 links.iter().for_each(|link| link.lose(0.0, 0.0));
             }
-            Fault::Refuse { proxies, servers, lasts } => {
-                let links = self.between(&proxies, &servers, false, &mut rng);
+            Fault::Refuse { links, lasts } => {
+                let links = self.between(&links, &mut rng);
                 self.note(format!("{} links refuse", links.len()));
                 links.iter().for_each(|link| link.refuse(true));
                 sleep(lasts).await;
                 links.iter().for_each(|link| link.refuse(false));
             }
-            Fault::Reset { proxies, servers } => {
-                let links = self.between(&proxies, &servers, false, &mut rng);
+            Fault::Reset { links } => {
+                let links = self.between(&links, &mut rng);
                 self.note(format!("reset {} links", links.len()));
                 links.iter().for_each(|link| link.reset());
             }
--- a/testbed/src/scenario.rs
+++ b/testbed/src/scenario.rs
@@ -247,7 +247,7 @@
     pub at: Duration,
     /// Waits, from then on, until one second serves at least this part of what was asked for in it.
     pub when_served: Option<f64>,
-    /// What happens, and to whom: `fault.cut = { servers = { zone = "a" }, lasts = "5s" }`.
+    /// What happens, and to whom: `fault.cut = { links = { way = "back" }, lasts = "5s" }`.
     pub fault: Fault,
 }
 
@@ -265,6 +265,20 @@
     pub part: Option<f64>,
 }
 
+/// The links that a fault concerns. What is left out is no bound; without any, all.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Links {
+    /// One end.
+    pub proxies: Among,
+    /// The other.
+    pub servers: Among,
+    /// Only between parties of different zones.
+    pub across: bool,
+    /// Only what goes this way, where a fault can be in one alone; both, if not told.
+    pub way: Option<Direction>,
+}
+
 /// What goes wrong.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
@@ -358,34 +372,18 @@
     },
     /// The links between client proxies and order servers give nothing.
     Cut {
-        /// One end.
-        #[serde(default)]
-        proxies: Among,
-        /// The other.
-        #[serde(default)]
-        servers: Among,
-        /// Only between parties of different zones.
+        /// Which ones.
         #[serde(default)]
-        across: bool,
-        /// Only what goes this way; both, if not told.
-        way: Option<Direction>,
+        links: Links,
         /// Until they heal.
         #[serde(with = "humantime_serde")]
         lasts: Duration,
     },
     /// What goes over the links takes longer.
     Delay {
-        /// One end.
-        #[serde(default)]
-        proxies: Among,
-        /// The other.
-        #[serde(default)]
-        servers: Among,
-        /// Only between parties of different zones.
+        /// Which ones.
         #[serde(default)]
-        across: bool,
-        /// Only what goes this way; both, if not told.
-        way: Option<Direction>,
+        links: Links,
         /// By so much.
         #[serde(with = "humantime_serde")]
         by: Duration,
@@ -395,17 +393,9 @@
     },
     /// Links lose a part of what goes over them, which comes a retransmission later.
     Loss {
-        /// One end.
-        #[serde(default)]
-        proxies: Among,
-        /// The other.
-        #[serde(default)]
-        servers: Among,
-        /// Only between parties of different zones.
+        /// Which ones.
         #[serde(default)]
-        across: bool,
-        /// Only what goes this way; both, if not told.
-        way: Option<Direction>,
+        links: Links,
         /// Of the pieces.
         part: f64,
         /// Until nothing is lost any more.
@@ -414,24 +404,18 @@
     },
     /// New connections are refused.
     Refuse {
-        /// One end.
-        #[serde(default)]
-        proxies: Among,
-        /// The other.
+        /// Which ones.
         #[serde(default)]
-        servers: Among,
+        links: Links,
         /// Until they are taken again.
         #[serde(with = "humantime_serde")]
         lasts: Duration,
     },
     /// All open connections between them are reset.
     Reset {
-        /// One end.
-        #[serde(default)]
-        proxies: Among,
-        /// The other.
+        /// Which ones.
         #[serde(default)]
-        servers: Among,
+        links: Links,
     },
     /// Discovery answers no call.
     DiscoveryDown {
@@ -642,12 +626,12 @@
             | Fault::Pause { servers, .. }
             | Fault::Lose { servers, .. }
             | Fault::Drain { servers } => vec![("servers", servers, false)],
-            Fault::Cut { proxies, servers, .. }
-            | Fault::Delay { proxies, servers, .. }
-            | Fault::Loss { proxies, servers, .. }
-            | Fault::Refuse { proxies, servers, .. }
-            | Fault::Reset { proxies, servers } => {
-                vec![("proxies", proxies, true), ("servers", servers, false)]
+            Fault::Cut { links, .. }
+            | Fault::Delay { links, .. }
+            | Fault::Loss { links, .. }
+            | Fault::Refuse { links, .. }
+            | Fault::Reset { links } => {
+                vec![("links.proxies", &links.proxies, true), ("links.servers", &links.servers, false)]
             }
             Fault::DiscoveryDown { .. } | Fault::DiscoveryStale { .. } => Vec::new(),
         }
