Say once how a test's order is made and how the testbed asks a client proxy

Two tests built the same empty order field by field, and two calls of the testbed opened, wrote and read alike.

--- a/proxy/src/clients.rs
+++ b/proxy/src/clients.rs
@@ -561,7 +561,6 @@
     use std::io::{Read, Write};
 
     use super::*;
-    use crate::bodies::Payload;
     use crate::ending::Awaited;
     use crate::hosts::Rest;
 
@@ -591,14 +590,7 @@
 
     /// For the answer to a request that came just now, of a client that waits for 400 ms.
     fn passing() -> Passing {
-        let order = Order {
-            method: Default::default(),
-            uri: Default::default(),
-            headers: Default::default(),
-            body: Payload::Whole(Default::default()),
-            came: Instant::now(),
-            patience: Duration::from_millis(400),
-        };
+        let order = Order::empty(Duration::from_millis(400));
         Awaited::new(Rc::new(order), Duration::ZERO).pass_on(None)
     }
 
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -548,7 +548,6 @@
     use tokio::task::LocalSet;
 
     use super::*;
-    use crate::bodies::Payload;
     use crate::memory::Room;
     use crate::sockets::Sockets;
 
@@ -571,14 +570,7 @@
 
     /// Of a client that waits for 400 ms.
     fn order() -> Order {
-        Order {
-            method: Default::default(),
-            uri: Default::default(),
-            headers: Default::default(),
-            body: Payload::Whole(Default::default()),
-            came: Instant::now(),
-            patience: Duration::from_millis(400),
-        }
+        Order::empty(Duration::from_millis(400))
     }
 
     const SLACK: Duration = Duration::from_millis(5);
--- a/proxy/src/hosts.rs
+++ b/proxy/src/hosts.rs
@@ -60,6 +60,13 @@
 }
 
 impl Order {
+    /// One that says nothing, of a client that waits from now on.
+    #[cfg(test)]
+    pub fn empty(patience: Duration) -> Order {
+        let (method, uri, headers) = Default::default();
+        Order { method, uri, headers, body: Payload::Whole(Bytes::new()), came: Instant::now(), patience }
+    }
+
     /// The body, if it goes on as it comes.
     pub fn long(&self) -> Option<&Long> {
         match &self.body {
--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -326,17 +326,19 @@
 
 /// Whether the process that answers operators there is ready.
 async fn ping(operators: SocketAddr) -> io::Result<bool> {
-    let mut stream = TcpStream::connect(operators).await?;
-    stream.write_all(b"PING\n").await?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).await?;
-    Ok(answer.starts_with("+OK"))
+    Ok(ask(operators, "PING\n").await?.starts_with("+OK"))
 }
 
 async fn ask_ready(address: SocketAddr) -> io::Result<bool> {
+    let call = "GET /ready HTTP/1.1\r\nHost: origin.svc\r\nConnection: close\r\n\r\n";
+    Ok(ask(address, call).await?.starts_with("HTTP/1.1 200"))
+}
+
+/// All that comes back over a connection of its own.
+async fn ask(address: SocketAddr, call: &str) -> io::Result<String> {
     let mut stream = TcpStream::connect(address).await?;
-    stream.write_all(b"GET /ready HTTP/1.1\r\nHost: origin.svc\r\nConnection: close\r\n\r\n").await?;
+    stream.write_all(call.as_bytes()).await?;
     let mut answer = String::new();
     stream.read_to_string(&mut answer).await?;
-    Ok(answer.starts_with("HTTP/1.1 200"))
+    Ok(answer)
 }
