Make the empty state of a balancer where the state is kept

Change: what is remembered before the first event is made in state.rs; what is decided of it (the load taken to be usual, the saved retries, the first pause) stays in logic.rs.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -13,13 +13,8 @@
 mod readiness;
 mod report;
 
-use std::collections::BTreeMap;
-
-use rand_core::{Rng, SeedableRng};
-use rand_pcg::Pcg32;
-
-use crate::interface::{Action, Discovery, Effect, Event, HostNews, Millis, Settings, SettingsError};
-use crate::state::{Balancer, ClassStats, Hand, Load, Wake, Zone};
+use crate::interface::{Action, Discovery, Event, HostNews, Millis, Settings, SettingsError};
+use crate::state::{Balancer, Hand, Load, Wake};
 use crate::tools::Mean;
 
 /// How often health and admission are judged. Far below the seconds over which troubles come and go.
@@ -72,41 +67,11 @@
     /// When [`Settings::check`] finds fault with the settings.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
-        let classes = vec![ClassStats::default(); settings.classes.len()];
-        let tenants = settings.tenants.len().max(1);
-        let usual =
-            settings.classes.iter().map(|c| c.aim / AIM_OVER_USUAL).sum::<f64>() / classes.len() as f64;
-        let mut rng = Pcg32::seed_from_u64(seed);
-        let share = f64::from(rng.next_u32()) / (f64::from(u32::MAX) + 1.0);
-        Ok(Self {
-            rng,
-            turn: (f64::from(settings.me % settings.balancers) + share) / f64::from(settings.balancers),
-            now: 0.0,
-            hosts: Vec::new(),
-            index: BTreeMap::new(),
-            by_hand: BTreeMap::new(),
-            groups: vec![Vec::new(); (settings.kinds + 1) * settings.zones],
-            requests: BTreeMap::new(),
-            wakes: BTreeMap::new(),
-            next_token: 0,
-            judged: None,
-            offered: vec![0.0; classes.len() * tenants],
-            latencies: vec![Mean::default(); (settings.kinds + 1) * settings.zones],
-            kind_speeds: vec![1.0; settings.kinds + 1],
-            speeds: vec![1.0; (settings.kinds + 1) * settings.zones],
-            classes,
-            tenant_rate: vec![0.0; tenants],
-            warm_rates: vec![0.0; (settings.kinds + 1) * settings.zones],
-            zones: settings.locality.as_ref().map(Zone::all).unwrap_or_default(),
-            spill: Default::default(),
-            // Before anything is known: some requests on each host, from all balancers together.
-            load: Load::new(settings.classes.len(), OPEN_START * usual, OPEN_UP, STRAIN_TARGET),
-            retry_budget: RETRY_SAVED,
-            watching: false,
-            ask_pause: ASK_AGAIN,
-            only_unsafe: settings.classes.iter().all(|class| class.effect == Effect::Unsafe),
-            settings,
-        })
+        let aims = settings.classes.iter().map(|class| class.aim / AIM_OVER_USUAL);
+        let usual = aims.sum::<f64>() / settings.classes.len() as f64;
+        // Before anything is known: some requests on each host, from all balancers together.
+        let load = Load::new(settings.classes.len(), OPEN_START * usual, OPEN_UP, STRAIN_TARGET);
+        Ok(Self { retry_budget: RETRY_SAVED, ask_pause: ASK_AGAIN, ..Self::empty(settings, seed, load) })
     }
 
     /// Takes in one event that happened at `now` and appends to `out` what is to be done about it.
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,11 +3,11 @@
 
 use std::collections::BTreeMap;
 
-use rand_core::Rng;
+use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 
 use crate::interface::{
-    Action, HostEntry, HostId, Locality, Millis, Outcome, Phase, RequestId, Settings, ZoneLeft,
+    Action, Effect, HostEntry, HostId, Locality, Millis, Outcome, Phase, RequestId, Settings, ZoneLeft,
 };
 use crate::tools::{Mean, Steered};
 
@@ -446,6 +446,42 @@
 }
 
 impl Balancer {
+    /// One that has seen nothing yet, with `load` for what is taken to be usual before anything is known.
+    pub(crate) fn empty(settings: Settings, seed: u64, load: Load) -> Balancer {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let share = f64::from(rng.next_u32()) / (f64::from(u32::MAX) + 1.0);
+        let (classes, tenants) = (settings.classes.len(), settings.tenants.len().max(1));
+        let groups = (settings.kinds + 1) * settings.zones;
+        Balancer {
+            rng,
+            turn: (f64::from(settings.me % settings.balancers) + share) / f64::from(settings.balancers),
+            now: 0.0,
+            hosts: Vec::new(),
+            index: BTreeMap::new(),
+            by_hand: BTreeMap::new(),
+            groups: vec![Vec::new(); groups],
+            zones: settings.locality.as_ref().map(Zone::all).unwrap_or_default(),
+            spill: Default::default(),
+            requests: BTreeMap::new(),
+            wakes: BTreeMap::new(),
+            next_token: 0,
+            judged: None,
+            classes: vec![ClassStats::default(); classes],
+            latencies: vec![Mean::default(); groups],
+            kind_speeds: vec![1.0; settings.kinds + 1],
+            speeds: vec![1.0; groups],
+            tenant_rate: vec![0.0; tenants],
+            offered: vec![0.0; classes * tenants],
+            warm_rates: vec![0.0; groups],
+            load,
+            retry_budget: 0.0,
+            watching: false,
+            ask_pause: 0.0,
+            only_unsafe: settings.classes.iter().all(|class| class.effect == Effect::Unsafe),
+            settings,
+        }
+    }
+
     /// The chance that the zone of a host is open to a request; always, where locality is off.
     pub(crate) fn open(&self, h: usize) -> f64 {
         self.zones.get(self.hosts[h].entry.zone).map_or(1.0, |zone| zone.open)
