Begin no attempt for a client that has closed, whatever lies unread behind its request

Need: a client that closes or cancels has gone, and no attempt, first or further, begins over 0.1 s later; one that ends only what it sends still has its answer. Cause, by reading and by a test each: hyper stops looking for an end once bytes of the next request are in its buffer, so a close behind pipelined bytes went unseen until the answer was written; a dial that came up later was written on, and a request held for a host was sent, for nobody. Where attempts are not called off (limits.cancelling false) that was so for every client that left during a dial. A half-closed client was cut off without its answer. Ruled out: the decisions' own gate (may_send refuses once the driver says Gone) and the body (an end in it is an error). Change: Watched reads ahead up to 16 KiB, for hyper to read later, and tells an end behind it (beyond that the system's own word); the ticket watches it for as long as a request is owed; it is asked again when the request is taken and right before the write. Event::ClientClosed: what is out may be answered, nothing more is sent, and what waits is refused at once. A break of the connection is as before. Beside it: Order and Outgoing are in order.rs, which takes the import cycle of bodies and hosts apart; the inline tests of the files touched are in test files, unchanged. Cost: an attempt of a client that closed is no longer called off, since a close and a half-close look alike.

--- a/proxy/src/bodies.rs
+++ b/proxy/src/bodies.rs
@@ -2,24 +2,21 @@
 
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Incoming};
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::{Instant, Sleep, sleep, timeout};
 
-use crate::hosts::Order;
 use crate::memory::{Hold, Room};
-use crate::sockets::Watched;
 
 /// A body up to this is read whole before it goes on.
 pub const WHOLE_MOST: usize = 64 * 1024;
 /// Whole bodies are written in pieces of this size, so that no connection's buffer grows to the size of a body.
-const PIECE: usize = 16 * 1024;
+pub const PIECE: usize = 16 * 1024;
 /// What a body has to make for each second that it is waited for, in bytes.
 const PACE: f64 = 64_000.0;
 
@@ -156,6 +153,35 @@
         Long { first: RefCell::new(first), rest, length, coming, spent: Cell::new(false), _hold: hold }
     }
 
+    /// What was read before it went on; nothing once some of the rest has been taken.
+    pub fn first(&self) -> Bytes {
+        self.first.borrow().0.clone()
+    }
+
+    /// The length of the whole, where it is known.
+    pub fn length(&self) -> Option<u64> {
+        self.length
+    }
+
+    /// The next part of the rest, which can be had once.
+    pub fn poll_rest(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Trouble>>> {
+        let next = ready!(self.rest.borrow_mut().poll_data(cx));
+        if next.is_some() {
+            self.spend();
+        }
+        if let Some(Err(trouble)) = next {
+            self.coming.send_replace(Coming::Not(trouble));
+        }
+        Poll::Ready(next)
+    }
+
+    /// Its last byte has been read.
+    pub fn came_whole(&self) {
+        // From here on there is nothing to read, so a second attempt would send a shorter one.
+        self.spend();
+        self.coming.send_replace(Coming::Whole(Instant::now()));
+    }
+
     /// Some of the rest is gone, so the first part is of no more use either.
     fn spend(&self) {
         self.spent.set(true);
@@ -195,129 +221,10 @@
     Long(Box<Long>),
 }
 
-/// The body of one attempt.
-pub struct Outgoing {
-    order: Rc<Order>,
-    given: u64,
-    watched: Rc<Watched>,
-}
-
-impl Outgoing {
-    /// Tells `watched` when all of the body has been handed to the writer.
-    pub fn new(order: Rc<Order>, watched: Rc<Watched>) -> Outgoing {
-        let outgoing = Outgoing { order, given: 0, watched };
-        if outgoing.is_end_stream() {
-            outgoing.watched.given_all();
-        }
-        outgoing
-    }
-
-    /// The next piece of what is held in memory.
-    fn piece(&mut self, held: &Bytes) -> Option<Bytes> {
-        let from = usize::try_from(self.given).ok().filter(|from| *from < held.len())?;
-        let piece = held.slice(from..held.len().min(from + PIECE));
-        self.given += piece.len() as u64;
-        Some(piece)
-    }
-}
-
-impl Body for Outgoing {
-    type Data = Bytes;
-    type Error = Trouble;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Trouble>>> {
-        let order = Rc::clone(&self.order);
-        let (held, long) = match &order.body {
-            Payload::Whole(body) => (body.clone(), None),
-            Payload::Long(long) => (long.first.borrow().0.clone(), Some(long)),
-        };
-        let mut piece = self.piece(&held);
-        if piece.is_none()
-            && let Some(long) = long
-        {
-            match ready!(long.rest.borrow_mut().poll_data(cx)) {
-                Some(Ok(data)) => {
-                    long.spend();
-                    self.given += data.len() as u64;
-                    piece = Some(data);
-                }
-                Some(Err(trouble)) => {
-                    long.spend();
-                    long.coming.send_replace(Coming::Not(trouble));
-                    return Poll::Ready(Some(Err(trouble)));
-                }
-                None => {}
-            }
-        }
-        if piece.is_none() || self.is_end_stream() {
-            if let Some(long) = long {
-                // From here on there is nothing to read, so a second attempt would send a shorter one.
-                long.spend();
-                long.coming.send_replace(Coming::Whole(Instant::now()));
-            }
-            self.watched.given_all();
-        }
-        Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.size_hint().exact() == Some(0)
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let length = match &self.order.body {
-            Payload::Whole(body) => Some(body.len() as u64),
-            Payload::Long(long) => long.length,
-        };
-        length.map_or_else(SizeHint::default, |length| SizeHint::with_exact(length - self.given.min(length)))
-    }
-}
-
 /// Takes the next piece off the front of what is left.
 pub fn next_piece(left: &mut Bytes) -> Bytes {
     left.split_to(left.len().min(PIECE))
 }
 
 #[cfg(test)]
-mod tests {
-    use std::io::{Read, Write};
-
-    use hyper_util::rt::TokioIo;
-
-    use super::*;
-
-    /// Guards against a client answered late: while its body lay ready and waited for room its time ran.
-    #[test]
-    fn what_waits_for_room_has_not_kept_us_waiting() {
-        const NO_ROOM: Duration = Duration::from_millis(200);
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("bound");
-        std::thread::spawn(move || {
-            let mut stream = listener.accept().expect("a connection").0;
-            let _ = stream.read(&mut [0; 1024]).expect("a head");
-            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc").expect("written");
-            let _ = stream.read(&mut [0; 1]);
-        });
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
-            let stream = tokio::net::TcpStream::connect(address).await.expect("accepted");
-            let made = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-            let (mut sender, connection) = made.expect("no words yet");
-            tokio::task::spawn_local(connection);
-            let request = hyper::Request::new(http_body_util::Empty::<Bytes>::new());
-            let body = sender.send_request(request).await.expect("a head").into_body();
-            let (start, room) = (Instant::now(), Room::new(0));
-            let all = [room.short(usize::MAX).await, room.short(usize::MAX).await];
-            let mut paced = Paced::new(body, Duration::from_secs(20));
-            tokio::task::spawn_local(async move {
-                sleep(NO_ROOM).await;
-                drop(all);
-            });
-            assert_eq!(paced.first(&room).await.expect("room").0, "abc");
-            assert!(start.elapsed() - paced.waited() >= NO_ROOM);
-        });
-    }
-}
+mod tests;
--- /dev/null
+++ b/proxy/src/clients/tests.rs
@@ -0,0 +1,125 @@
+use std::io::{Read, Write};
+
+use super::*;
+use crate::ending::Awaited;
+use crate::hosts::Rest;
+
+/// The answer of a host that has begun it and then does as `end` says, as far as it has come; and what shows that
+/// the connection to that host has ended.
+async fn begun(end: impl FnOnce(std::net::TcpStream) + Send + 'static) -> (Rest, TaskTracker) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        let mut stream = listener.accept().expect("a connection").0;
+        let _ = stream.read(&mut [0; 1024]).expect("a request");
+        let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+        stream.write_all(head).expect("written");
+        end(stream);
+    });
+    let stream = tokio::net::TcpStream::connect(address).await.expect("accepted");
+    let io = TokioIo::new(stream);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.expect("no words yet");
+    let ended = TaskTracker::new();
+    ended.spawn_local(connection);
+    ended.close();
+    let request = Request::new(http_body_util::Empty::<Bytes>::new());
+    let mut body = sender.send_request(request).await.expect("an answer").into_body();
+    let first = http_body_util::BodyExt::frame(&mut body).await.expect("a piece").expect("sound");
+    (Rest::new(first.into_data().expect("data"), body, None), ended)
+}
+
+/// For the answer to a request that came just now, of a client that waits for 400 ms.
+fn passing() -> Passing {
+    let order = Order::empty(Duration::from_millis(400));
+    Awaited::new(Rc::new(order), Duration::ZERO).pass_on(None)
+}
+
+fn reply(rest: Rest) -> Reply {
+    Reply { body: Answered::Rest(Box::new(rest)), passing: Some(passing()), ..Reply::whole("") }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), test);
+}
+
+async fn door() -> (Rc<Door>, std::net::TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let client = std::net::TcpStream::connect(listener.local_addr().expect("bound")).expect("accepted");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let slot = Sockets::new(1024, 0).place(Side::Client).expect("a place");
+    let stream = Watched::new(stream, slot);
+    let (opened, idle, busy, long) = (Instant::now(), Cell::default(), Cell::default(), Cell::default());
+    (Rc::new(Door { stream, opened, busy, idle, long }), client)
+}
+
+/// Guards against a request that has no answer at all: the break is known as soon as the answer is begun, and
+/// what was handed to the writer goes down with it.
+#[test]
+fn an_answer_that_breaks_as_it_is_begun_has_begun_for_the_client() {
+    run(async {
+        let (rest, ended) = begun(drop).await;
+        ended.wait().await;
+        let (door, mut client) = door().await;
+        client.write_all(b"GET / HTTP/1.1\r\nHost: origin.svc\r\n\r\n").expect("written");
+        let rest = Cell::new(Some(rest));
+        let service = service_fn(|_| {
+            let mut reply = reply(rest.take().expect("one request"));
+            reply.busy = Some(door.enter());
+            async { Ok::<_, Infallible>(Response::new(reply)) }
+        });
+        let io = TokioIo::new(Io(Rc::clone(&door.stream)));
+        assert!(Builder::new().serve_connection(io, service).await.is_err(), "the client can tell");
+        drop(door);
+        let mut seen = String::new();
+        client.read_to_string(&mut seen).expect("all of it");
+        assert!(seen.starts_with("HTTP/1.1 200 "), "{seen:?}");
+        assert!(!seen.ends_with("0\r\n\r\n"), "{seen:?}");
+    });
+}
+
+/// Guards against a passed-on answer that nobody ends: its host has fallen silent, its connection stays open.
+#[test]
+fn an_answer_that_falls_silent_is_ended_when_the_time_is_up() {
+    run(async {
+        let (hold, held) = std::sync::mpsc::channel::<()>();
+        let (rest, _ended) = begun(move |stream| drop((held.recv(), stream))).await;
+        tokio::time::pause();
+        let (start, mut reply) = (Instant::now(), reply(rest));
+        let mut next = async || std::future::poll_fn(|cx| Pin::new(&mut reply).poll_frame(cx)).await;
+        assert!(matches!(next().await, Some(Ok(_))));
+        assert!(matches!(next().await, Some(Err(Broken::Stalled))));
+        // Timers go by whole milliseconds.
+        let took = start.elapsed().as_millis();
+        assert!((400..=401).contains(&took), "{took} ms");
+        drop(hold);
+    });
+}
+
+/// Guards against a close that reaches a client before it has read the answer, and against one in the middle of a
+/// head that began late: neither is idle.
+#[test]
+fn only_a_connection_that_is_idle_is_closed_soon() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    runtime.expect("a runtime").block_on(async {
+        let (door, mut client) = door().await;
+        let left = || door.due().saturating_duration_since(Instant::now());
+        assert_eq!(left(), HEAD_WITHIN);
+        let busy = door.enter();
+        tokio::time::advance(FIRST_WITHIN).await;
+        assert_eq!(left(), HEAD_WITHIN, "as long as it is answered");
+        drop(busy);
+        assert_eq!(left(), HEAD_WITHIN);
+        door.long.set(true);
+        assert_eq!(left(), READ_LONG_WITHIN);
+        assert!(door.is_begun(), "a long answer may still be read");
+        door.long.set(false);
+        assert!(!door.is_begun());
+        // A head begins when the time is nearly over.
+        tokio::time::advance(HEAD_WITHIN - Duration::from_millis(1)).await;
+        std::io::Write::write_all(&mut client, b"P").expect("written");
+        tokio::io::AsyncReadExt::read_u8(&mut Io(Rc::clone(&door.stream))).await.expect("a byte");
+        assert_eq!(left(), HEAD_WITHIN);
+        assert!(door.is_begun());
+    });
+}
--- /dev/null
+++ b/proxy/src/driver/tests.rs
@@ -0,0 +1,106 @@
+use marblebay_benchlink::{WireSettings, read_settings};
+use tokio::task::LocalSet;
+
+use super::*;
+use crate::memory::Room;
+use crate::sockets::Sockets;
+
+/// The least that there have to be.
+pub(crate) fn settings() -> Settings {
+    let settings: WireSettings = serde_json::from_str(
+        r#"{"me":0,"balancers":1,"classes":[{"aim":100,"hardLimit":400,"semantics":"safe","points":1}],
+            "contract":{"cold":1,"coldFrom":1,"drainGrace":1,"fall":1,"fallMultiple":1,"graceToAnswer":1},
+            "discovery":"automatic","limits":{"attemptsCap":1},"tick":1}"#,
+    )
+    .expect("all that is required");
+    read_settings(settings)
+}
+
+fn driver() -> Rc<Driver> {
+    let hosts = Hosts::new(Sockets::new(1024, 0), Rc::new(Room::new(1 << 20)), 1000.0, 100.0);
+    let classes = vec!["look".to_owned()];
+    let (names, asks) = (Names { classes, ..Names::default() }, mpsc::unbounded_channel().0);
+    let handover = Rc::new(Handover::open(None, "n0"));
+    Driver::new(settings(), names, 1, hosts, handover, asks).expect("usable")
+}
+
+/// Of a client that waits for 400 ms.
+fn order() -> Order {
+    Order::empty(Duration::from_millis(400))
+}
+
+const SLACK: Duration = Duration::from_millis(5);
+
+/// One that the decisions know nothing of, so that only the watchdog ends it.
+fn forgotten(driver: &Rc<Driver>) -> Ticket {
+    let ticket = driver.take(Facts::default(), order());
+    driver.state.borrow_mut().balancer = Balancer::new(settings(), 1).expect("usable");
+    ticket
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), test);
+}
+
+/// Guards against timers that are all due at once when the program has run for more than a day.
+#[test]
+fn a_timer_is_ahead_however_long_the_program_has_run() {
+    run(async {
+        let clock = Clock::new();
+        tokio::time::advance(Duration::from_secs(36 * 3600)).await;
+        let at = clock.instant(clock.now() + 100.0);
+        let ahead = at.saturating_duration_since(Instant::now());
+        assert!(ahead > Duration::from_millis(99) && ahead < Duration::from_millis(101), "{ahead:?}");
+    });
+}
+
+/// Guards against figures that differ from what clients saw: each final answer is counted once, as what it was.
+#[test]
+fn every_final_answer_is_counted_once() {
+    run(async {
+        let driver = driver();
+        let (left, waits) = (driver.take(Facts::default(), order()), driver.take(Facts::default(), order()));
+        assert_eq!(driver.figures()["concurrent"], 2);
+        drop(left);
+        assert!(matches!(waits.answer(SLACK).await, Ok(Final { answer: Answer::Refused(_), .. })));
+        assert!(matches!(forgotten(&driver).answer(SLACK).await, Ok(Final { answer: Answer::Failed, .. })));
+        let wanted = json!({"success": {"look": 0}, "overload": {"look": 1}, "error": {"look": 1},
+            "dispatches": 0, "concurrent": 0, "targets": 0, "targets_disabled": 0});
+        assert_eq!(driver.figures(), wanted);
+    });
+}
+
+/// Guards against a request that has no answer, or one only when its time is up, where the decisions' side of it
+/// has gone.
+#[test]
+fn a_request_whose_job_is_gone_fails_at_once() {
+    run(async {
+        let (driver, start) = (driver(), Instant::now());
+        let ticket = driver.take(Facts::default(), order());
+        driver.state.borrow_mut().jobs.clear();
+        assert!(matches!(ticket.answer(SLACK).await, Ok(Final { answer: Answer::Failed, .. })));
+        assert_eq!(start.elapsed(), Duration::ZERO);
+    });
+}
+
+/// Guards against memory that grows with every request: whatever the ending, nothing is kept.
+#[test]
+fn every_ending_empties_the_map() {
+    run(async {
+        let driver = driver();
+        // Refused by the decisions: there is no host.
+        let ticket = driver.take(Facts::default(), order());
+        assert!(matches!(ticket.answer(SLACK).await, Ok(Final { answer: Answer::Refused(_), .. })));
+        // The client leaves, and one while its answer lies ready.
+        drop(driver.take(Facts::default(), order()));
+        let late = driver.take(Facts::default(), order());
+        sleep_until(Instant::now() + Duration::from_millis(399)).await;
+        assert!(driver.state.borrow().jobs.is_empty());
+        drop(late);
+        assert_eq!(driver.figures()["concurrent"], 0);
+        // The watchdog comes before the decisions.
+        assert!(matches!(forgotten(&driver).answer(SLACK).await, Ok(Final { answer: Answer::Failed, .. })));
+        assert!(driver.state.borrow().jobs.is_empty());
+    });
+}
--- a/proxy/src/hosts.rs
+++ b/proxy/src/hosts.rs
@@ -14,7 +14,7 @@
 use hyper::body::{Body, Incoming, SizeHint};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use marblebay::{HostId, LoadReport, Outcome};
 use marblebay_benchlink::{Metrics, read_metrics};
@@ -23,8 +23,9 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-use crate::bodies::{Long, Outgoing, Payload, WHOLE_MOST, next_piece};
+use crate::bodies::{WHOLE_MOST, next_piece};
 use crate::memory::{Hold, Room};
+use crate::order::{Order, Outgoing};
 use crate::sockets::{Io, Side, Sockets, Watched};
 
 /// What a connection's buffer holds at most, in each direction.
@@ -43,61 +44,6 @@
 static TURNED_AWAY: HeaderName = HeaderName::from_static("x-turned-away");
 static PRESSURE: HeaderName = HeaderName::from_static("x-pressure");
 
-/// What a client wants done, as it is passed on.
-pub struct Order {
-    /// Unchanged from the client.
-    pub method: Method,
-    /// Path and query, unchanged.
-    pub uri: Uri,
-    /// All that is meant for the host.
-    pub headers: HeaderMap,
-    /// Unchanged from the client.
-    pub body: Payload,
-    /// When its head, or all of a body that was read whole, had come.
-    pub came: Instant,
-    /// How long the client waits from its last byte on.
-    pub patience: Duration,
-}
-
-impl Order {
-    /// One that says nothing, of a client that waits from now on.
-    #[cfg(test)]
-    pub fn empty(patience: Duration) -> Order {
-        let (method, uri, headers) = Default::default();
-        Order { method, uri, headers, body: Payload::Whole(Bytes::new()), came: Instant::now(), patience }
-    }
-
-    /// The body, if it goes on as it comes.
-    pub fn long(&self) -> Option<&Long> {
-        match &self.body {
-            Payload::Whole(_) => None,
-            Payload::Long(long) => Some(long),
-        }
-    }
-
-    /// When the client's time is up; not known while its body comes.
-    pub fn deadline(&self) -> Option<Instant> {
-        let came = self.long().map_or(Some(self.came), Long::came);
-        came.map(|came| came + self.patience)
-    }
-
-    /// Waits until the client's time is up. Never, if its body does not come whole.
-    pub async fn time_up(&self) {
-        if let Some(long) = self.long()
-            && long.settled().await.is_err()
-        {
-            return std::future::pending().await;
-        }
-        if let Some(deadline) = self.deadline() {
-            sleep_until(deadline).await;
-        }
-    }
-
-    fn is_spent(&self) -> bool {
-        self.long().is_some_and(Long::is_spent)
-    }
-}
-
 /// A host's 200.
 pub struct Served {
     /// As the host sends it.
@@ -339,8 +285,9 @@
             Ok(conn) => conn,
             Err(outcome) => return End::bare(outcome),
         };
-        // Guards against a drain or restart that came to be known while the dial was under way.
-        if self.serving(host) != Some(place) {
+        // Guards against a drain or restart that came to be known while the dial was under way, and against an attempt
+        // for a client that has left meanwhile.
+        if self.serving(host) != Some(place) || order.is_abandoned() {
             return End::bare(Outcome::NeverSent);
         }
         let watched = Rc::clone(&conn.watched);
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -14,6 +14,7 @@
 mod ids;
 mod inherit;
 mod memory;
+mod order;
 mod parts;
 mod sockets;
 
--- a/proxy/src/sockets.rs
+++ b/proxy/src/sockets.rs
@@ -1,16 +1,17 @@
 //! Sockets: a budget that keeps the process below its limit of descriptors, and a stream that keeps the evidence
 //! of how far a request was written.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
+use bytes::BytesMut;
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
@@ -97,9 +98,27 @@
     }
 }
 
+/// How the other side has ended what it sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HangUp {
+    /// It sends nothing more; it may still read.
+    Closed,
+    /// The connection is broken.
+    Reset,
+}
+
+/// What is read ahead at most, to see an end behind what nobody has asked for yet.
+const AHEAD_MOST: usize = 16 * 1024;
+/// How often it is looked for an end behind more than that.
+const LOOK_BEHIND: Duration = Duration::from_millis(20);
+
 /// A TCP stream that others can look at while an HTTP connection owns it.
 pub struct Watched {
     stream: TcpStream,
+    /// What was read ahead, for whoever reads next.
+    ahead: RefCell<BytesMut>,
+    /// What ended it behind that.
+    hung_up: Cell<Option<HangUp>>,
     written: Cell<u64>,
     unfinished: Cell<bool>,
     /// All of the request has been handed over to be written.
@@ -121,8 +140,20 @@
         // Fails only where the connection is broken already, which the first use shows.
         let _ = stream.set_nodelay(true);
         let (written, unfinished, given, counts) = Default::default();
-        let (whole, heard, stuck) = Default::default();
-        Rc::new(Watched { stream, written, unfinished, given, counts, whole, heard, stuck, _slot: slot })
+        let (whole, heard, stuck, ahead, hung_up) = Default::default();
+        Rc::new(Watched {
+            stream,
+            ahead,
+            hung_up,
+            written,
+            unfinished,
+            given,
+            counts,
+            whole,
+            heard,
+            stuck,
+            _slot: slot,
+        })
     }
 
     /// Forgets what was written so far: a new request begins, to be counted in `whole` when all of it is written.
@@ -199,13 +230,55 @@
         }
     }
 
+    /// Whether the other side has ended what it sends, asked of the system at this moment: what comes before its end is
+    /// read ahead, as far as there is room for it.
+    ///
+    /// Guards against an end that nobody sees because unread bytes lie before it.
+    pub fn look_ahead(&self) -> Option<HangUp> {
+        let mut ahead = self.ahead.borrow_mut();
+        while self.hung_up.get().is_none() && ahead.len() < AHEAD_MOST {
+            let mut piece = [0; 1024];
+            match self.stream.try_read(&mut piece) {
+                Ok(0) => self.hung_up.set(Some(HangUp::Closed)),
+                Ok(read) => ahead.extend_from_slice(&piece[..read]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => self.hung_up.set(Some(HangUp::Reset)),
+            }
+        }
+        self.hung_up.get().or_else(|| self.is_read_closed().then_some(HangUp::Closed))
+    }
+
+    /// Whether the system has told of an end, also behind more than is read ahead.
+    fn is_read_closed(&self) -> bool {
+        let ready = pin!(self.stream.ready(Interest::READABLE));
+        let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
+        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
+    /// Waits until the other side has ended what it sends.
+    pub async fn hung_up(&self) -> HangUp {
+        loop {
+            if let Some(hung_up) = self.look_ahead() {
+                return hung_up;
+            }
+            if self.ahead.borrow().len() < AHEAD_MOST {
+                // Fails only where the runtime ends.
+                let _ = self.stream.readable().await;
+            } else {
+                sleep(LOOK_BEHIND).await;
+            }
+        }
+    }
+
     /// Whether nothing has come in and the other side has not closed, asked of the system at this moment.
     ///
     /// Guards against a close that has arrived but that no task was told of yet: a request written now would be
     /// lost.
     pub fn is_quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        matches!(SockRef::from(&self.stream).peek(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        let nothing = self.ahead.borrow().is_empty() && self.hung_up.get().is_none();
+        nothing
+            && matches!(SockRef::from(&self.stream).peek(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
@@ -214,6 +287,21 @@
 
 impl AsyncRead for Io {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut ahead = self.0.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let most = ahead.len().min(buf.remaining());
+            let piece = ahead.split_to(most);
+            buf.put_slice(&piece);
+            if self.0.heard.get().is_none() {
+                self.0.heard.set(Some(Instant::now()));
+            }
+            return Poll::Ready(Ok(()));
+        }
+        match self.0.hung_up.get() {
+            Some(HangUp::Closed) => return Poll::Ready(Ok(())),
+            Some(HangUp::Reset) => return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
+            None => {}
+        }
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
             match self.0.stream.try_read(buf.initialize_unfilled()) {
@@ -274,112 +362,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use std::io::{Read, Write};
-    use std::net::TcpListener;
-
-    use tokio::io::AsyncWriteExt;
-
-    use super::*;
-
-    async fn joined() -> (Rc<Watched>, std::net::TcpStream) {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("bound");
-        let stream = TcpStream::connect(address).await.expect("accepted");
-        let slot = Sockets::new(1024, 0).place(Side::Host).expect("a place");
-        (Watched::new(stream, slot), listener.accept().expect("a connection").0)
-    }
-
-    fn run(test: impl Future<Output = ()>) {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        runtime.expect("a runtime").block_on(test);
-    }
-
-    /// Guards against a request taken for run, or for not run, against the evidence.
-    #[test]
-    fn what_was_written_in_part_is_known_to_be_partial() {
-        run(async {
-            let (watched, mut other) = joined().await;
-            SockRef::from(&watched.stream).set_send_buffer_size(4096).expect("a small buffer");
-            assert!(watched.is_partial(), "nothing is written yet");
-            let mut io = Io(Rc::clone(&watched));
-            io.write_all(b"whole").await.expect("written");
-            assert!(watched.is_partial(), "more may be to come");
-            watched.given_all();
-            assert!(!watched.is_partial());
-            watched.begin(&Rc::default());
-            assert!(watched.is_partial(), "a new request begins");
-            watched.given_all();
-            // More than all buffers hold, to one who does not read: it stays unfinished.
-            let much = vec![0; 64 << 20];
-            let unfinished = std::future::poll_fn(|cx| {
-                loop {
-                    match Pin::new(&mut io).poll_write(cx, &much) {
-                        Poll::Ready(Ok(written)) if written < much.len() => {}
-                        Poll::Ready(result) => return Poll::Ready(result.is_err()),
-                        Poll::Pending => return Poll::Ready(true),
-                    }
-                }
-            });
-            assert!(unfinished.await && watched.is_partial());
-            let mut five = [0; 5];
-            other.read_exact(&mut five).expect("what was written whole");
-        });
-    }
-
-    /// Guards against a close, or bytes out of turn, that the system has but no task was told of.
-    #[test]
-    fn a_connection_is_quiet_until_something_comes() {
-        run(async {
-            let (watched, mut other) = joined().await;
-            assert!(watched.is_quiet());
-            other.write_all(b"x").expect("written");
-            assert!(!watched.is_quiet());
-            let (watched, other) = joined().await;
-            other.shutdown(std::net::Shutdown::Both).expect("closed");
-            assert!(!watched.is_quiet());
-        });
-    }
-
-    /// Guards against a client that learns a second late that its answer has broken off.
-    #[test]
-    fn what_is_drained_has_ended_for_the_other_side() {
-        run(async {
-            let (watched, mut other) = joined().await;
-            other.set_read_timeout(Some(Duration::from_secs(20))).expect("a time limit");
-            tokio::select! {
-                biased;
-                _ = watched.drain(Duration::from_secs(3600)) => panic!("the other side has not closed"),
-                _ = std::future::ready(()) => {}
-            }
-            assert_eq!(other.read(&mut [0; 1]).expect("an end"), 0);
-        });
-    }
-
-    #[test]
-    fn each_side_of_the_budget_keeps_a_part() {
-        let sockets = Sockets::new(OWN + 9, 1);
-        let clients: Vec<Slot> = std::iter::from_fn(|| sockets.place(Side::Client)).collect();
-        let hosts: Vec<Slot> = std::iter::from_fn(|| sockets.place(Side::Host)).collect();
-        assert_eq!((clients.len(), hosts.len(), sockets.is_full()), (6, 2, true));
-        drop(clients);
-        assert!(sockets.place(Side::Client).is_some() && !sockets.is_full());
-    }
-
-    /// Guards against two processes that together go over the limit while one takes over from the other.
-    #[test]
-    fn two_processes_share_the_limit() {
-        let sockets = Sockets::new(2 * (OWN + 1 + 12), 1);
-        let held: Vec<Slot> = (0..20).filter_map(|_| sockets.place(Side::Client)).collect();
-        assert_eq!(held.len(), 20);
-        sockets.share(2);
-        assert!(sockets.is_over() && sockets.place(Side::Host).is_none());
-        drop(held);
-        let held: Vec<Slot> = (0..40)
-            .filter_map(|n| sockets.place(if n % 2 == 0 { Side::Client } else { Side::Host }))
-            .collect();
-        assert_eq!(held.len(), 12);
-        sockets.share(1);
-        assert!(sockets.place(Side::Client).is_some());
-    }
-}
+mod tests;
--- /dev/null
+++ b/proxy/tests/leaving.rs
@@ -0,0 +1,192 @@
+//! Clients that leave while their requests wait: nothing more is sent for them, whatever lies unread behind the request,
+//! and one that has only ended what it sends has its answer.
+
+mod common;
+
+use std::io::Read;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Mutex;
+use std::sync::mpsc::{Sender, channel};
+use std::time::Duration;
+
+use common::*;
+use serde_json::json;
+use socket2::{Domain, SockRef, Socket, Type};
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    /// With nothing behind its request.
+    Plain,
+    /// Behind the next request, which nobody has read.
+    Pipelined,
+    /// The same with more than is read ahead.
+    Flooded,
+    /// A break of the connection behind such bytes.
+    Reset,
+}
+
+const WAYS: [Way; 4] = [Way::Plain, Way::Pipelined, Way::Flooded, Way::Reset];
+
+/// Writes what comes behind a request that is under way, and leaves.
+fn leave(mut client: Client, way: Way) {
+    match way {
+        Way::Plain => {}
+        Way::Flooded => client.write(&look(3000).repeat(400)),
+        Way::Pipelined | Way::Reset => client.write(&look(3000)),
+    }
+    if matches!(way, Way::Reset) {
+        SockRef::from(&client.stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+    }
+}
+
+/// Answers after each word on the channel.
+fn gated(say: fn(usize) -> String) -> (Host, Sender<()>) {
+    let (go, gate) = channel::<()>();
+    let gate = Mutex::new(gate);
+    let host = Host::start(move |n| {
+        let _ = gate.lock().expect("no panic").recv();
+        Act::Say(say(n))
+    });
+    (host, go)
+}
+
+fn fine(_: usize) -> String {
+    answer("200 OK", "", "fine")
+}
+
+/// Guards against a burst sent on for clients that have all left by the time that there is a host.
+#[test]
+fn nothing_is_sent_for_clients_that_left_while_they_waited_for_a_host() {
+    for way in WAYS {
+        let host = Host::start(|n| Act::Say(fine(n)));
+        let roster = Roster::start(json!([]));
+        let proxy = Proxy::start(&config(roster.address, settings()));
+        roster.wait_until_known();
+        let mut burst: Vec<Client> = (0..20).map(|_| proxy.client()).collect();
+        burst.iter_mut().for_each(|client| client.write(&look(15_000)));
+        // An answer to a later one shows that these have been taken up.
+        assert_eq!(proxy.client().ask("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+        burst.into_iter().for_each(|client| leave(client, way));
+        roster.tell(json!([endpoint("h", host.address, "SERVING")]), true);
+        roster.wait_until_known();
+        // What waits for a host is looked at every tenth of a second.
+        let mut client = proxy.client();
+        for _ in 0..15 {
+            assert_eq!(client.ask(&look(3000)).status(), 200);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        assert_eq!(host.requests_so_far(), 15, "{way:?}");
+    }
+}
+
+/// Guards against an attempt that begins when its dial comes up long after the client left, also where attempts are
+/// not called off.
+#[test]
+fn nothing_is_written_on_a_dial_that_outlasts_its_client() {
+    for cancelling in [true, false] {
+        for way in WAYS {
+            // A queue of connections that is full leaves a dial waiting until a place comes free.
+            let full = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            full.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
+            full.listen(0).expect("a queue");
+            full.set_read_timeout(Some(HANG)).expect("a time limit for accepting");
+            let address = full.local_addr().expect("bound").as_socket().expect("an address");
+            let filler = TcpStream::connect(address).expect("the one place in the queue");
+            let mut settings = settings();
+            settings["limits"]["dialTimeout"] = json!(15_000.0);
+            settings["limits"]["cancelling"] = json!(cancelling);
+            let roster = Roster::start(json!([endpoint("full", address, "SERVING")]));
+            let proxy = Proxy::start(&config(roster.address, settings));
+            roster.wait_until_known();
+            let mut client = proxy.client();
+            client.write(&post("pay", 18_000, "", ""));
+            // An answer to another one shows that this has been taken up and its dial begun.
+            assert_eq!(proxy.client().ask("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+            leave(client, way);
+            // The same for the leaving.
+            assert_eq!(proxy.client().ask("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+            let listener: TcpListener = full.into();
+            drop(listener.accept().expect("the filler"));
+            drop(filler);
+            if cancelling && matches!(way, Way::Reset) {
+                continue; // the dial has been called off
+            }
+            // The system tries the dial again by itself; what comes must be closed with nothing on it.
+            let (mut late, _) = listener.accept().expect("the dial under way");
+            let mut bytes = Vec::new();
+            late.set_read_timeout(Some(HANG)).expect("a time limit");
+            let _ = late.read_to_end(&mut bytes);
+            assert_eq!(bytes, b"", "{way:?}, cancelling {cancelling}");
+        }
+    }
+}
+
+/// Guards against a further attempt for a client that left during the first one.
+#[test]
+fn nothing_more_is_sent_for_a_client_that_left_between_two_attempts() {
+    for way in WAYS {
+        let turned_away = |_| answer("503 Service Unavailable", "X-Turned-Away: 1\r\n", "");
+        let ((one, go_one), (two, go_two)) = (gated(turned_away), gated(turned_away));
+        let (proxy, _roster) = Proxy::with_hosts(&[&one, &two]);
+        let mut client = proxy.client();
+        client.write(&post("pay", 15_000, "", ""));
+        let asked = |host: &Host| matches!(host.seen.try_recv(), Ok(Seen::Request(..)));
+        while !asked(&one) && !asked(&two) {
+            std::thread::yield_now();
+        }
+        leave(client, way);
+        assert_eq!(proxy.client().ask("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+        for go in [&go_one, &go_two] {
+            for _ in 0..4 {
+                go.send(()).expect("the host waits");
+            }
+        }
+        // Its answer, or that the attempt was called off, has been taken in when another request has been.
+        assert_eq!(proxy.client().ask(&post("pay", 15_000, "", "")).status(), 503);
+        let others = [&one, &two].map(|host| host.requests_so_far());
+        // Those of the other request, which is turned away by both hosts, three attempts at the most.
+        assert!(others[0] + others[1] <= 3, "{way:?}: {others:?}");
+    }
+}
+
+/// Guards against an answer withheld from a client that has ended what it sends and waits for its answer.
+#[test]
+fn a_client_that_ends_what_it_sends_has_its_answer() {
+    let (host, go) = gated(fine);
+    let (proxy, _roster) = Proxy::with_hosts(&[&host]);
+    for behind in ["", "GET /look/8 HT"] {
+        let mut client = proxy.client();
+        client.write(&look(15_000));
+        host.request();
+        client.write(behind);
+        client.stream.shutdown(Shutdown::Write).expect("open");
+        assert_eq!(proxy.client().ask("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+        go.send(()).expect("the host waits");
+        assert_eq!(client.read().expect("an answer").body, b"fine", "{behind:?}");
+        assert!(client.ends(), "{behind:?}");
+    }
+}
+
+/// Guards against an attempt for a client that ended what it sends while it waited, and against leaving it without an
+/// answer, or with one that comes only when its time is up.
+#[test]
+fn a_client_that_ends_what_it_sends_while_it_waits_is_refused() {
+    let host = Host::start(|n| Act::Say(fine(n)));
+    let roster = Roster::start(json!([]));
+    let proxy = Proxy::start(&config(roster.address, settings()));
+    roster.wait_until_known();
+    let mut client = proxy.client();
+    client.write(&look(600_000));
+    assert_eq!(proxy.client().ask("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+    client.stream.shutdown(Shutdown::Write).expect("open");
+    assert_eq!(client.read().expect("an answer").status(), 503);
+    // With the request itself it comes to the same.
+    let mut client = proxy.client();
+    client.write(&look(600_000));
+    client.stream.shutdown(Shutdown::Write).expect("open");
+    roster.tell(json!([endpoint("h", host.address, "SERVING")]), true);
+    roster.wait_until_known();
+    let status = client.read().expect("an answer").status();
+    assert!(matches!(status, 200 | 503), "{status}");
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -536,6 +536,11 @@
         /// Whose client.
         id: RequestId,
     },
+    /// The client has closed its sending side: no attempt begins for it any more, but it may still read an answer.
+    ClientClosed {
+        /// Whose client.
+        id: RequestId,
+    },
     /// An operator takes a server out: it counts as draining until it is put back, whatever the list says.
     TakenOut {
         /// Which server.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -95,6 +95,7 @@
             Event::FirstByte { id, attempt } => self.stream_began(id, attempt, out),
             Event::Finished(end) => self.attempt_ended(&end, out),
             Event::Gone { id } => self.request_over(id, out),
+            Event::ClientClosed { id } => self.client_closed(id, out),
             Event::TakenOut { host } => self.hand(host, Hand::Out, out),
             Event::PutBack { host, at } => self.hand(host, Hand::Back(at), out),
             Event::Timer { token } => self.woken(token, out),
--- a/src/logic/gates.rs
+++ b/src/logic/gates.rs
@@ -108,6 +108,15 @@
         }
     }
 
+    /// What is out may still be answered, but nothing more is sent for a client that may have gone.
+    pub(super) fn client_closed(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.spent = true;
+        if request.open_attempts() == 0 {
+            self.finish(id, out);
+        }
+    }
+
     /// Calls off the attempts that are out, where that is allowed.
     pub(super) fn call_off(&self, id: RequestId, except: Option<u32>, out: &mut Vec<Action>) {
         let open = self.requests.get(&id).into_iter().flat_map(|request| (0..).zip(&request.attempts));
--- a/src/state.rs
+++ b/src/state.rs
@@ -295,9 +295,10 @@
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) streaming: bool,
     pub(crate) ended: bool,
-    /// Its body may be sent once at the most, and is still coming, and was sent in part.
+    /// Its body may be sent once at the most, and is still coming.
     pub(crate) once: bool,
     pub(crate) coming: bool,
+    /// Nothing more may be sent for it: its body was sent in part, or its client has closed.
     pub(crate) spent: bool,
 }
 
