Let cold servers bear the sum: what was saved up long ago waits for its process's turn

Need: beyond a cold budget of N calls only 2 x root of N + 2 is chance, with thirty processes too. Change: turns at each cold host go round by the balancers' numbers, from the contract and the start that the list tells, so without agreement. What was saved up within the last 'fall' is spent as before (the rates bound it); older savings, and the one request for an unknown kind, only in turn.

--- a/src/logic/gates.rs
+++ b/src/logic/gates.rs
@@ -23,14 +23,13 @@
     /// Whether the rules let this request go to this host now.
     pub(super) fn may_send(&self, request: &Request, h: usize) -> bool {
         let host = &self.hosts[h];
-        let limits = &self.settings.limits;
         // Rule 3: from the first word of a drain on, long before the grace is over.
         host.entry.phase == Phase::Up
             && host.readiness > 0.0
             // Rule 1: nothing after the final answer, nor past the client's patience.
             && request.waits()
             && self.now < request.deadline
-            && request.attempts.len() < limits.attempts as usize
+            && request.attempts.len() < self.settings.limits.attempts as usize
             && !request.spent
             // Rule 2: never a second copy, and no second effect where a repeat would not be dropped.
             && request.open_attempts() == 0
@@ -40,8 +39,8 @@
             && (host.probation == 0
                 || self.settings.classes[request.class].effect != Effect::Unsafe
                 || self.now > host.ejected_until + 2.0 * REST_FOR && self.only_unsafe)
-            // Rule 4: a cold host gets only what its budget holds.
-            && (self.warmth(host) >= 1.0 || host.cold_budget >= self.charge(request))
+            // Rule 4: a cold host gets only what its budget holds, and little of it out of turn.
+            && (self.warmth(host) >= 1.0 || host.may_warm && host.cold_budget >= self.charge(request))
     }
 
     fn repeat_is_harmless(&self, request: &Request, earlier: &Attempt, h: usize) -> bool {
--- a/src/logic/listing.rs
+++ b/src/logic/listing.rs
@@ -15,8 +15,7 @@
 const SUBSET_LEAST: usize = 2;
 /// Discovery takes calls one after another: so much time is left to it for the call of each balancer.
 const ASK_EACH: Millis = 50.0;
-/// A change counts as told 6 s after discovery has it, whatever call failed. Of that 2.5 s are for the next call, and
-/// 2 s for the silence of a watch to show.
+/// A change counts as told 6 s after discovery has it: 2.5 s are for a call, 2 s to see a watch fall silent.
 const ASK_AGAIN_MOST: Millis = 3_500.0;
 const ASK_ANEW_MOST: Millis = 1_500.0;
 
--- a/src/logic/readiness.rs
+++ b/src/logic/readiness.rs
@@ -123,32 +123,56 @@
         if self.zones.is_empty() { host.entry.kind } else { host.group }
     }
 
-    /// Slow start: while a host is cold it gets at most the ramped part of what a warm one lately got from
-    /// here. Every balancer doing so keeps the sum below what a warm host bears, without any agreement.
+    /// Which turn of this balancer's at a cold host it is, if any. Guards against many that each saved up one:
+    /// turns go round by the balancers' numbers, begin a quarter as fast as the contract lets work come to a
+    /// host that does one request at a time, and stay open for half of `fall`.
+    fn cold_turn(&self, h: usize, one: Millis, part: f64) -> Option<f64> {
+        let Contract { cold_from, fall, fall_multiple, .. } = self.settings.contract;
+        let (host, warmth) = (&self.hosts[h], self.warmth(&self.hosts[h]));
+        let age = self.now - host.entry.started.unwrap_or(self.now);
+        let begun = fall_multiple / one * age * (cold_from + warmth) / 8.0; // warmth grows evenly
+        let open = (fall_multiple / one * fall * warmth / 8.0).max(1.0);
+        let round = (f64::from(self.settings.balancers) * part).max(1.0);
+        let at = begun / round - (self.turn / part + host.place).fract();
+        (at.rem_euclid(1.0) * round < open).then(|| at.floor())
+    }
+
+    /// Slow start: a cold host gets at most the ramped part of what a warm one lately got from here.
     pub(super) fn fill_cold_budgets(&mut self, passed: Millis) {
         let mut warm = vec![Mean::default(); self.warm_rates.len()];
-        // Only of the hosts in use here: a mean over all would starve the cold ones where subsets
-        // are small, and so would one over hosts that rest, whose kin then are needed most.
+        // Only of the hosts in use here: the others would starve the cold ones where subsets are small.
         let used = self.groups.iter().flatten().filter(|&&h| self.open(h) >= 1.0).map(|&h| &self.hosts[h]);
         for host in used.filter(|h| self.warmth(h) >= 1.0 && h.probation == 0) {
             warm[self.rate_of(host)].add(host.sent / RATE_MEMORY);
         }
         self.warm_rates.iter_mut().zip(warm).for_each(|(rate, seen)| *rate = seen.value_or(*rate));
         let one = (0..self.classes.len()).map(|class| self.typical(class)).fold(0.0, f64::max);
+        let mut listed = vec![0.0; self.groups.len()];
+        self.hosts.iter().filter(|h| h.entry.phase == Phase::Up).for_each(|h| listed[h.group] += 1.0);
         for h in 0..self.hosts.len() {
             let host = &self.hosts[h];
             // Guards against a cold host that something else slows down as well: both shrink what it can do.
             let warmth = (self.warmth(host) + host.warmer).min(1.0);
             let rate = self.warm_rates[self.rate_of(host)] * warmth * host.readiness;
-            let most = (rate * self.settings.contract.fall / 4.0).max(one);
-            // While no host of the kind was ever warm, one request at a time keeps step with what it can do.
-            let unknown = if host.inflight == 0 { one } else { 0.0 };
+            let saved = rate * self.settings.contract.fall / 4.0;
+            let part = (self.groups[host.group].len() as f64).max(0.5) / f64::max(listed[host.group], 1.0);
+            let turn = self.cold_turn(h, one / self.kind_speeds[host.entry.kind], part);
             let host = &mut self.hosts[h];
             // Guards against cold hosts that a fleet leaves idle: only their reports tell what all send them.
             let spare = COLD_BUSY * host.busy.n - host.busy.sum;
             host.warmer = (host.warmer + spare / host.busy.n.max(1.0) * passed / WARMER_IN).clamp(0.0, 1.0);
-            let budget = &mut host.cold_budget;
-            *budget = if rate > 0.0 { (*budget + rate * passed).min(most) } else { unknown };
+            // What was saved up just now is spent as it comes, at the pace that the rates allow.
+            host.saved = if host.cold_budget < one { self.now } else { host.saved };
+            let fresh = rate > 0.0 && host.saved + self.settings.contract.fall >= self.now;
+            host.may_warm = saved >= one || fresh || turn.is_some();
+            host.cold_budget = if rate > 0.0 {
+                (host.cold_budget + rate * passed).min(saved.max(one))
+            } else if turn.is_some() && host.turn != turn && host.inflight == 0 {
+                host.turn = turn; // no host of the kind was ever warm here
+                one
+            } else {
+                host.cold_budget.min(one)
+            };
         }
     }
 }
