--- a/proxy/tests/attempts.rs
+++ b/proxy/tests/attempts.rs
@@ -188,3 +188,91 @@
     // Keyed, and every host drops a repeat: the module fails it, as it may still be running.
     assert_eq!(proxy.client().ask(&post("keep", 300, KEY, "")).status(), 502);
 }
+
+/// Guards against a cut answer passed off as a whole one: a reset is no end, wherever it comes, and a close is one only
+/// where nothing else says how long the answer is.
+#[test]
+fn an_answer_that_is_reset_is_no_answer() {
+    for cut in [
+        "HTTP/1.1 200 OK\r\nContent-Le",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+    ] {
+        for reset in [true, false] {
+            let host = Host::start(move |_| match reset {
+                true => Act::SayAndReset(cut.to_owned()),
+                false => Act::SayAndClose(cut.to_owned()),
+            });
+            let (proxy, _roster) = Proxy::with_hosts(&[&host]);
+            let mut client = proxy.client();
+            client.write(&post("pay", 3000, "Connection: close\r\n", ""));
+            assert!(!is_whole(&mut client), "{cut:?}, reset {reset}");
+            assert_eq!(host.requests_so_far(), 1, "{cut:?}, reset {reset}");
+        }
+    }
+    // Without a length a close is the end, and a reset is not.
+    let unbounded = || "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nto the end".to_owned();
+    let host =
+        Host::start(
+            move |n| if n == 0 { Act::SayAndClose(unbounded()) } else { Act::SayAndReset(unbounded()) },
+        );
+    let (proxy, _roster) = Proxy::with_hosts(&[&host]);
+    let mut client = proxy.client();
+    client.write(&post("pay", 3000, "Connection: close\r\n", ""));
+    assert!(is_whole(&mut client));
+    let mut client = proxy.client();
+    client.write(&post("pay", 3000, "Connection: close\r\n", ""));
+    assert!(!is_whole(&mut client));
+}
+
+/// Whether the client can take what comes for a whole 200.
+fn is_whole(client: &mut Client) -> bool {
+    use std::io::Read;
+    let mut all = Vec::new();
+    let closed = client.stream.read_to_end(&mut all).is_ok();
+    let text = String::from_utf8_lossy(&all);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+    let length =
+        head.lines().find_map(|line| line.to_lowercase().strip_prefix("content-length: ").map(str::to_owned));
+    let ended = match length {
+        Some(length) => body.len() == length.parse::<usize>().expect("a length"),
+        None if head.to_lowercase().contains("chunked") => body.ends_with("0\r\n\r\n"),
+        None => closed,
+    };
+    head.starts_with("HTTP/1.1 200 ") && ended
+}
+
+/// Guards against an answer that reaches another client: what comes on a connection out of turn, with the answer before
+/// it or while it is idle, retires it before a request is written.
+#[test]
+fn a_second_answer_never_reaches_the_next_client() {
+    // With the first answer, in one piece.
+    let twice = |n: usize| Act::Say(answer("200 OK", "", &format!("n{n}")) + &answer("200 OK", "", "stray"));
+    let host = Host::start(twice);
+    let (proxy, _roster) = Proxy::with_hosts(&[&host]);
+    let mut client = proxy.client();
+    for n in 0..40 {
+        let answered = client.ask(&post("pay", 3000, "", ""));
+        assert_eq!(String::from_utf8_lossy(&answered.body), format!("n{n}"));
+    }
+    // While the connection is idle: all of an answer, or half a line of one.
+    for stray in ["HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray", "HTTP/1.1 20"] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let roster = Roster::start(json!([endpoint("h", address, "SERVING")]));
+        let proxy = Proxy::start(&config(roster.address, settings()));
+        roster.wait_until_known();
+        let mut client = proxy.client();
+        for body in ["first", "second"] {
+            client.write(&post("pay", 3000, "", ""));
+            let (mut stream, _) = listener.accept().expect("a connection of its own");
+            let mut reader = std::io::BufReader::new(stream.try_clone().expect("a second handle"));
+            read_message(&mut reader).expect("a request");
+            std::io::Write::write_all(&mut stream, answer("200 OK", "", body).as_bytes()).expect("written");
+            assert_eq!(client.read().expect("an answer").body, body.as_bytes());
+            std::io::Write::write_all(&mut stream, stray.as_bytes()).expect("written");
+        }
+    }
+}
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -66,6 +66,8 @@
     Say(String),
     /// Writes this and closes.
     SayAndClose(String),
+    /// Writes this and breaks the connection.
+    SayAndReset(String),
     /// Closes without a word.
     Close,
     /// Says nothing; the connection stays open until the client proxy closes it.
@@ -155,6 +157,15 @@
                 stream.write_all(text.as_bytes()).unwrap_or_default();
                 break;
             }
+            Act::SayAndReset(text) => {
+                stream.write_all(text.as_bytes()).unwrap_or_default();
+                // Guards against a break that overtakes the words: it takes back what was not read yet.
+                std::thread::sleep(Duration::from_millis(30));
+                let socket = socket2::SockRef::from(&stream);
+                socket.set_linger(Some(Duration::ZERO)).unwrap_or_default();
+                let _ = tell.send(Seen::Closed(n));
+                return;
+            }
             Act::Close => break,
             Act::Silent => {}
         }
@@ -182,7 +193,11 @@
 
 impl Roster {
     pub fn start(endpoints: Value) -> Roster {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Roster::start_at("127.0.0.1:0".parse().expect("an address"), endpoints)
+    }
+
+    pub fn start_at(address: SocketAddr, endpoints: Value) -> Roster {
+        let listener = TcpListener::bind(address).expect("a port");
         let address = listener.local_addr().expect("bound");
         let told = Told { index: 1, endpoints, snapshot: true };
         let told = Arc::new((Mutex::new(told), Condvar::new()));
--- a/proxy/tests/lifecycle.rs
+++ b/proxy/tests/lifecycle.rs
@@ -80,3 +80,110 @@
     assert_eq!(said, "martensill: GW_CONFIG is not set\n");
     assert_eq!(child.wait().expect("ends").code(), Some(2));
 }
+
+/// Guards against a request lost in the end of the process, wherever it stands then: in the queue of connections, half
+/// sent, on a connection that rests, or with a host that says nothing. A second SIGTERM changes nothing.
+#[test]
+fn sigterm_loses_no_request_wherever_it_stands() {
+    let host = Host::start(|n| if n == 0 { Act::Silent } else { Act::Say(answer("200 OK", "", "done")) });
+    let (mut proxy, _roster) = Proxy::with_hosts(&[&host]);
+    let mut hung = proxy.client();
+    hung.write(&post("pay", 1500, "", ""));
+    host.request();
+    let mut resting = proxy.client();
+    assert_eq!(resting.ask(&post("pay", 3000, "", "")).body, b"done");
+    let (begun, rest) = (post("pay", 3000, "", "ab"), 20);
+    let mut half = proxy.client();
+    half.write(&begun[..begun.len() - rest]);
+    let mut bodiless = proxy.client();
+    bodiless.write(&begun[..begun.len() - 1]);
+    proxy.terminate();
+    proxy.terminate();
+    let mut queued: Vec<Client> = (0..20).map(|_| proxy.client()).collect();
+    queued.iter_mut().for_each(|client| client.write(&post("pay", 3000, "", "")));
+    half.write(&begun[begun.len() - rest..]);
+    bodiless.write(&begun[begun.len() - 1..]);
+    resting.write(&post("pay", 3000, "", ""));
+    for client in queued.iter_mut().chain([&mut half, &mut bodiless, &mut resting]) {
+        assert_eq!(client.read().expect("an answer").body, b"done");
+        assert!(client.read().is_none(), "it is closed when it is idle");
+    }
+    // What hangs has its end in time, and then the process.
+    assert_eq!(hung.read().expect("an answer").status(), 502);
+    assert!(proxy.child.wait().expect("ends").success());
+    assert_eq!(host.requests_so_far(), 24, "each went out once");
+}
+
+/// Guards against a request that is read after the process has shut the connection, and sent on with nobody to answer:
+/// on connections that rest until then, written as they close, each request either has its answer or never went out.
+#[test]
+fn what_comes_in_the_moment_of_the_close_is_answered_or_never_sent() {
+    let host = Host::start(|_| Act::Say(answer("200 OK", "", "done")));
+    let (mut proxy, _roster) = Proxy::with_hosts(&[&host]);
+    let clients: Vec<Client> = (0..16).map(|_| proxy.client()).collect();
+    proxy.terminate();
+    let threads: Vec<_> = clients
+        .into_iter()
+        .map(|mut client| {
+            std::thread::spawn(move || {
+                use std::io::Write;
+                let mut answered = 0;
+                // On and on until the connection is closed: the last one crosses the close.
+                while client.stream.write_all(post("pay", 3000, "", "").as_bytes()).is_ok()
+                    && let Some(message) = client.read()
+                {
+                    // One that is refused, as in a burst, was not sent.
+                    assert!(matches!(message.status(), 200 | 503), "{}", message.start);
+                    answered += usize::from(message.status() == 200);
+                }
+                answered
+            })
+        })
+        .collect();
+    let answered: usize = threads.into_iter().map(|thread| thread.join().expect("no panic")).sum();
+    assert!(proxy.child.wait().expect("ends").success());
+    assert_eq!(host.requests_so_far(), answered);
+}
+
+#[test]
+fn sigterm_before_any_list_ends_at_once() {
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let mut proxy = Proxy::start(&config(closed, settings()));
+    let mut client = proxy.client();
+    client.write(&look(600));
+    proxy.terminate();
+    assert_eq!(client.read().expect("an answer").status(), 503);
+    assert!(proxy.child.wait().expect("ends").success());
+}
+
+/// Guards against a process that idle clients keep from its list: they may fill the descriptors while discovery is down.
+/// Discovery, operators and `/ready` are answered all the same, and service is back when discovery is.
+#[test]
+fn idle_clients_that_fill_the_descriptors_keep_nothing_from_working() {
+    let host = Host::start(|_| Act::Say(answer("200 OK", "", "done")));
+    let place = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let mut config = config(place, settings());
+    config["limits"]["sockets"] = json!(64);
+    config["admin_addr"] = json!("127.0.0.1:0");
+    let proxy = Proxy::start(&config);
+    // As many as the system takes in and as wait behind them, and each comes again when it is let go.
+    let stop = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let idle: Vec<_> = (0..45)
+        .map(|_| {
+            let (stop, address) = (Arc::clone(&stop), proxy.address);
+            std::thread::spawn(move || {
+                while !stop.load(std::sync::atomic::Ordering::Relaxed) {
+                    Client::new(address).ends();
+                }
+            })
+        })
+        .collect();
+    assert!(proxy.call("PING").starts_with("-ERR"), "not ready, and it says so");
+    assert_eq!(proxy.client().ask("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 503);
+    let roster = Roster::start_at(place, json!([endpoint("h", host.address, "SERVING")]));
+    roster.wait_until_known();
+    assert!(proxy.call("PING").starts_with("+OK"));
+    assert_eq!(proxy.client().ask(&look(10_000)).body, b"done");
+    stop.store(true, std::sync::atomic::Ordering::Relaxed);
+    idle.into_iter().for_each(|thread| thread.join().expect("no panic"));
+}
--- a/src/logic/readiness.rs
+++ b/src/logic/readiness.rs
@@ -123,7 +123,7 @@
         if self.zones.is_empty() { host.entry.kind } else { host.group }
     }
 
-    /// Which turn of this balancer's at a cold host it is, if any. Guards against many that each saved up one:
+    /// Which turn of this balancer's at a cold host it is, if any. Guards against many that each saved one:
     /// turns go round by the balancers' numbers, begin a quarter as fast as the contract lets work come to a
     /// host that does one request at a time, and stay open for half of `fall`.
     fn cold_turn(&self, h: usize, one: Millis, part: f64) -> Option<f64> {
