Lose what is saved up for a cold server and not wanted, and place processes out of step

Need: the ramp has to hold for the fleet, also after a cold server was out of use for most of its ramp. Change: a budget begins at its process's place in the round, so that requests come due evenly and not in step, and a request's worth that nobody wanted for 'fall' is lost. The rates alone then bound the sum in every window; turns remain for kinds of which no warm host is known, and the gate on turns is gone. The three tests of tests/fleet.rs hold for 1 to 300 processes.

--- a/src/logic/readiness.rs
+++ b/src/logic/readiness.rs
@@ -123,17 +123,15 @@
         if self.zones.is_empty() { host.entry.kind } else { host.group }
     }
 
-    /// Which turn of this balancer's at a cold host it is, if any. Guards against many that each saved one:
-    /// turns go round by the balancers' numbers, begin a quarter as fast as the contract lets work come to a
-    /// host that does one request at a time, and stay open for half of `fall`.
-    fn cold_turn(&self, h: usize, one: Millis, part: f64) -> Option<f64> {
+    /// Which turn of this balancer's it is at a cold host of an unknown kind, if any. They begin a quarter as
+    /// fast as the contract lets work come to a host with one request at a time, and stay for half of `fall`.
+    fn cold_turn(&self, h: usize, one: Millis, round: f64, phase: f64) -> Option<f64> {
         let Contract { cold_from, fall, fall_multiple, .. } = self.settings.contract;
         let (host, warmth) = (&self.hosts[h], self.warmth(&self.hosts[h]));
         let age = self.now - host.entry.started.unwrap_or(self.now);
         let begun = fall_multiple / one * age * (cold_from + warmth) / 8.0; // warmth grows evenly
         let open = (fall_multiple / one * fall * warmth / 8.0).max(1.0);
-        let round = (f64::from(self.settings.balancers) * part).max(1.0);
-        let at = begun / round - (self.turn / part + host.place).fract();
+        let at = begun / round - phase;
         (at.rem_euclid(1.0) * round < open).then(|| at.floor())
     }
 
@@ -154,25 +152,27 @@
             // Guards against a cold host that something else slows down as well: both shrink what it can do.
             let warmth = (self.warmth(host) + host.warmer).min(1.0);
             let rate = self.warm_rates[self.rate_of(host)] * warmth * host.readiness;
-            let saved = rate * self.settings.contract.fall / 4.0;
+            let (saved, fall) = (rate * self.settings.contract.fall / 4.0, self.settings.contract.fall);
+            // Guards against balancers in step: each has its place in the round of those that use the host.
             let part = (self.groups[host.group].len() as f64).max(0.5) / f64::max(listed[host.group], 1.0);
-            let turn = self.cold_turn(h, one / self.kind_speeds[host.entry.kind], part);
+            let round = (f64::from(self.settings.balancers) * part).max(1.0);
+            let phase = (self.turn / part + host.place).fract();
+            let turn = self.cold_turn(h, one / self.kind_speeds[host.entry.kind], round, phase);
             let host = &mut self.hosts[h];
             // Guards against cold hosts that a fleet leaves idle: only their reports tell what all send them.
             let spare = COLD_BUSY * host.busy.n - host.busy.sum;
             host.warmer = (host.warmer + spare / host.busy.n.max(1.0) * passed / WARMER_IN).clamp(0.0, 1.0);
-            // What was saved up just now is spent as it comes, at the pace that the rates allow.
-            host.saved = if host.cold_budget < one { self.now } else { host.saved };
-            let fresh = rate > 0.0 && host.saved + self.settings.contract.fall >= self.now;
-            host.may_warm = saved >= one || fresh || turn.is_some();
-            host.cold_budget = if rate > 0.0 {
-                (host.cold_budget + rate * passed).min(saved.max(one))
-            } else if turn.is_some() && host.turn != turn && host.inflight == 0 {
-                host.turn = turn; // no host of the kind was ever warm here
-                one
-            } else {
-                host.cold_budget.min(one)
-            };
+            if rate > 0.0 {
+                // Guards against what many have saved up: a request that nobody wanted for `fall` is lost.
+                let lost = saved < one && host.saved + fall < self.now;
+                let held = if host.saved.is_infinite() { one * phase } else { host.cold_budget };
+                host.cold_budget = if lost { 0.0 } else { (held + rate * passed).min(saved.max(one)) };
+                host.saved = if host.cold_budget < one { self.now } else { host.saved.max(0.0) };
+            } else if turn.is_none() {
+                host.cold_budget = 0.0;
+            } else if host.turn != turn && host.inflight == 0 {
+                (host.turn, host.cold_budget) = (turn, one);
+            }
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,8 +62,6 @@
     pub(crate) sent: f64,
     /// Slow start: work that may still be sent while it is cold.
     pub(crate) cold_budget: f64,
-    /// Whether it may be spent now.
-    pub(crate) may_warm: bool,
     /// When it last held less than one request.
     pub(crate) saved: Millis,
     /// The turn in which something was last given without knowing any warm host.
@@ -101,7 +99,6 @@
             dials: Mean::default(),
             sent: 0.0,
             cold_budget: 0.0,
-            may_warm: false,
             saved: f64::NEG_INFINITY,
             turn: None,
             busy: Mean::default(),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -25,7 +25,11 @@
 
 impl Fleet {
     fn new(count: u32, skewed: bool, list: Vec<HostEntry>) -> Fleet {
-        let s = Settings { balancers: count, ..settings() };
+        Fleet::under(settings(), count, skewed, list)
+    }
+
+    fn under(settings: Settings, count: u32, skewed: bool, list: Vec<HostEntry>) -> Fleet {
+        let s = Settings { balancers: count, ..settings };
         let rig = |me| Rig::seeded(Settings { me, ..s.clone() }, list.clone(), u64::from(me));
         // One in ten gets half of all.
         let part = |me| if skewed && me % 10 == 0 { 9.0 } else { 1.0 };
@@ -161,3 +165,23 @@
         assert!(worst <= 1.0, "{count} balancers, skewed {skewed}: {worst} times what it bears");
     }
 }
+
+/// Guards against what all have saved up over a long time: a cold host that could not be used for most of its ramp, while
+/// others like it were, is then all that is left.
+#[test]
+fn savings_for_a_cold_host_that_was_out_of_use_are_not_spent_together() {
+    let mut s = settings();
+    (s.contract.cold, s.contract.fall, s.contract.fall_multiple) = (20_000.0, 1000.0, 4.0);
+    for count in [30, 300] {
+        let warm: Vec<HostEntry> = (1..=6).map(host).collect();
+        let mut fleet = Fleet::under(s.clone(), count, false, warm.clone());
+        fleet.run(2000.0, 140.0);
+        let unused = HostEntry { phase: Phase::Draining, ..cold(9, fleet.now()) };
+        fleet.tell(warm.into_iter().chain([unused.clone()]).collect());
+        fleet.run(15_000.0, 140.0);
+        fleet.tell(vec![HostEntry { phase: Phase::Up, ..unused }]);
+        fleet.run(1500.0, 2000.0);
+        let worst = fleet.worst(HostId(9), 0.0);
+        assert!(worst <= 1.0, "{count} balancers: {worst} times what it bears");
+    }
+}
