Hold the start to naming settings that are needed and absent

Need: a settings field that is needed and absent ends the start with one line that names it, and an unknown one is ignored. Result: holds for eleven fields of contract, classes, limits and the rest; no change to the program.

--- a/proxy/tests/lifecycle.rs
+++ b/proxy/tests/lifecycle.rs
@@ -81,6 +81,51 @@
     assert_eq!(child.wait().expect("ends").code(), Some(2));
 }
 
+/// Guards against settings of another customer that are made up for: what is needed and absent, or out of range, is named;
+/// what is not known is ignored.
+#[test]
+fn settings_that_are_needed_have_to_be_there() {
+    let good = config("127.0.0.1:9".parse().expect("an address"), settings());
+    let absent = |path: &[&str]| {
+        let mut bad = good["settings"].clone();
+        let (last, groups) = path.split_last().expect("a field");
+        let group = groups.iter().fold(&mut bad, |value, name| match name.parse::<usize>() {
+            Ok(index) => &mut value[index],
+            Err(_) => &mut value[*name],
+        });
+        group.as_object_mut().expect("a group").remove(*last).expect("it was there");
+        bad
+    };
+    for path in [
+        ["contract", "drainGrace"].as_slice(),
+        &["contract", "cold"],
+        &["contract", "coldFrom"],
+        &["contract", "fall"],
+        &["contract", "fallMultiple"],
+        &["classes", "0", "hardLimit"],
+        &["classes", "1", "semantics"],
+        &["discovery"],
+        &["limits", "attemptsCap"],
+        &["balancers"],
+        &["me"],
+    ] {
+        let bad = config("127.0.0.1:9".parse().expect("an address"), absent(path));
+        let output = spawn(&bad).wait_with_output().expect("ends");
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{path:?}: {said}");
+        let field = path.last().expect("a field");
+        assert!(said.lines().count() == 1 && said.contains(field), "{path:?}: {said}");
+    }
+    let host = Host::start(|_| Act::Say(answer("200 OK", "", "done")));
+    let roster = Roster::start(json!([endpoint("h", host.address, "SERVING")]));
+    let mut settings = settings();
+    settings["aFieldOfTomorrow"] = json!({"deep": [1, 2]});
+    settings["limits"]["another"] = json!("yes");
+    let proxy = Proxy::start(&config(roster.address, settings));
+    roster.wait_until_known();
+    assert_eq!(proxy.client().ask(&look(3000)).body, b"done");
+}
+
 /// Guards against a request lost in the end of the process, wherever it stands then: in the queue of connections, half
 /// sent, on a connection that rests, or with a host that says nothing. A second SIGTERM changes nothing.
 #[test]
