Set up a client proxy that dials in one place of the tests

Need: two tests held the same setting up. Change: Full::dialled in tests/common; assertions and bounds as before.

--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -195,6 +195,21 @@
         Full { socket, filler, address }
     }
 
+    /// A client proxy that dials nothing else, and a client whose unsafe request it has taken up and dials for.
+    pub fn dialled(&self, cancelling: bool) -> (Roster, Proxy, Client) {
+        let mut settings = settings();
+        settings["limits"]["dialTimeout"] = json!(15_000.0);
+        settings["limits"]["cancelling"] = json!(cancelling);
+        let roster = Roster::start(json!([endpoint("full", self.address, "SERVING")]));
+        let proxy = Proxy::start(&config(roster.address, settings));
+        roster.wait_until_known();
+        let mut client = proxy.client();
+        client.write(&post("pay", 18_000, "", ""));
+        // An answer to another request shows that the one before has been taken up and its dial begun.
+        assert_eq!(proxy.client().ask("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+        (roster, proxy, client)
+    }
+
     /// Makes a place for the dial under way, which the system tries again by itself; what comes over it to its end.
     pub fn let_in(self) -> Vec<u8> {
         let listener: TcpListener = self.socket.into();
--- a/proxy/tests/discovery.rs
+++ b/proxy/tests/discovery.rs
@@ -45,15 +45,7 @@
 fn a_dial_that_outlasts_the_word_of_a_drain_is_not_written_on() {
     let here = host("here");
     let full = Full::start();
-    let mut settings = settings();
-    settings["limits"]["dialTimeout"] = json!(15_000.0);
-    let roster = Roster::start(json!([endpoint("full", full.address, "SERVING")]));
-    let proxy = Proxy::start(&config(roster.address, settings));
-    roster.wait_until_known();
-    let mut client = proxy.client();
-    client.write(&post("pay", 18_000, "", ""));
-    // An answer to another request shows that the one before has been taken up and its dial begun.
-    assert_eq!(proxy.client().ask("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+    let (roster, _proxy, mut client) = full.dialled(true);
     roster.tell(
         json!([endpoint("full", full.address, "DRAINING"), endpoint("here", here.address, "SERVING")]),
         false,
--- a/proxy/tests/leaving.rs
+++ b/proxy/tests/leaving.rs
@@ -86,18 +86,9 @@
     for cancelling in [true, false] {
         for way in WAYS {
             let full = Full::start();
-            let mut settings = settings();
-            settings["limits"]["dialTimeout"] = json!(15_000.0);
-            settings["limits"]["cancelling"] = json!(cancelling);
-            let roster = Roster::start(json!([endpoint("full", full.address, "SERVING")]));
-            let proxy = Proxy::start(&config(roster.address, settings));
-            roster.wait_until_known();
-            let mut client = proxy.client();
-            client.write(&post("pay", 18_000, "", ""));
-            // An answer to another one shows that this has been taken up and its dial begun.
-            assert_eq!(proxy.client().ask("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+            let (_roster, proxy, client) = full.dialled(cancelling);
             leave(client, way);
-            // The same for the leaving.
+            // An answer to another request shows that the leaving has come in.
             assert_eq!(proxy.client().ask("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
             // Where attempts are called off, the dial of a client that broke off is.
             if !cancelling || !matches!(way, Way::Reset) {
