Take what needs no sockets of discovery's client into a crate that others can drive

Need: the scale run wants client proxies without clients and order servers, many in one process, with the same control code as the program's, not a second version of it.

Change: session, list reader and the hosts' numbers move from proxy/src into discovery/, and what follows from an answer becomes Follower::answered: bytes in, news out. The sockets stay in proxy/src/discovery.rs. Where hosts are followed to is a trait (Places), which the program's connections implement. No call, deadline or message changes; an answer that is no list is now parsed after the exchange rather than in it, with the same pause after it and a new link for the next call.

Result: cargo test of both crates passes (the moved tests among them).

--- /dev/null
+++ b/discovery/src/follower.rs
@@ -0,0 +1,119 @@
+//! A session and a reader together: an answer goes in, what it means for the decisions comes out.
+
+use marblebay::{HostEntry, HostNews};
+use thiserror::Error;
+
+use crate::list::{Entries, List, Places, Reader};
+use crate::session::{Call, Session, Told, Verdict};
+
+/// Why an answer that came whole is none.
+#[derive(Debug, Error)]
+pub enum NotAList {
+    /// It is no JSON, or lacks what every list has.
+    #[error("not a list: {0}")]
+    Form(#[from] serde_json::Error),
+    /// It would say of every host that it is gone.
+    #[error("a whole list without one entry that can be read")]
+    Entries,
+}
+
+/// What an answer says.
+#[derive(Debug)]
+pub enum Answer {
+    /// The list is of version `index` from now on.
+    Taken {
+        /// The version.
+        index: u64,
+        /// For the decisions; an empty list of changes where nothing is new.
+        news: HostNews,
+        /// Whether it had no entry, and came for a call that was to wait for one.
+        in_vain: bool,
+    },
+    /// Nothing of it holds; the whole list is asked for next.
+    Doubtful {
+        /// The version that it named.
+        index: u64,
+    },
+}
+
+/// Follows the list of one discovery. See the module's page.
+pub struct Follower<P> {
+    session: Session,
+    reader: Reader<P>,
+    /// Why entries of the last answer were left out.
+    problems: Vec<String>,
+}
+
+impl<P: Places> Follower<P> {
+    /// Holds nothing yet.
+    pub fn new(reader: Reader<P>) -> Follower<P> {
+        Follower { session: Session::new(None), reader, problems: Vec::new() }
+    }
+
+    /// Reads entries and has the connections follow them.
+    pub fn reader(&self) -> &Reader<P> {
+        &self.reader
+    }
+
+    /// The next call.
+    pub fn call(&self) -> Call {
+        self.session.call()
+    }
+
+    /// Takes in a list from before this process. Its version is built on only if `resumes`; else all is asked for.
+    pub fn known(&mut self, list: List, resumes: bool) -> Vec<HostEntry> {
+        self.session = Session::new(Some(list.index).filter(|_| resumes));
+        let entries = self.read(list.endpoints);
+        self.reader.follow(entries, true)
+    }
+
+    fn read(&mut self, endpoints: Vec<serde_json::Value>) -> Entries {
+        let mut entries = self.reader.read(endpoints);
+        self.problems = std::mem::take(&mut entries.problems);
+        entries
+    }
+
+    /// Why entries of the last answer could not be read and were left out.
+    pub fn problems(&self) -> &[String] {
+        &self.problems
+    }
+
+    /// The whole list is wanted, whatever is held.
+    pub fn forget_version(&mut self) {
+        self.session = Session::new(None);
+    }
+
+    /// Discovery has moved: what the new one knows beyond the list held is asked for at once.
+    pub fn moved(&mut self) {
+        self.session.moved();
+    }
+
+    /// The body of an answer to [`Follower::call`] came whole.
+    ///
+    /// # Errors
+    /// Where it is no list. Then the call has failed, as [`Follower::failed`] is to be told.
+    pub fn answered(&mut self, body: &[u8]) -> Result<Answer, NotAList> {
+        self.problems.clear();
+        let List { index, snapshot: whole, endpoints } = serde_json::from_slice(body)?;
+        let empty = endpoints.is_empty();
+        let entries = self.read(endpoints);
+        let (read, unreadable) = (entries.read.len(), self.problems.len());
+        // Guards against a whole list that is no good: it says of no host that it is gone.
+        if whole && !empty && read == 0 {
+            return Err(NotAList::Entries);
+        }
+        let waited = !self.session.call().wait.is_zero();
+        if self.session.answered(Told { index, whole, read, unreadable }) == Verdict::Doubtful {
+            return Ok(Answer::Doubtful { index });
+        }
+        let entries = self.reader.follow(entries, whole);
+        let news = if whole { HostNews::Complete(entries) } else { HostNews::Changes(entries) };
+        Ok(Answer::Taken { index, news, in_vain: empty && waited })
+    }
+
+    /// The call failed, was refused, was given up, or (`spoilt`) had an answer that is no list. The pause from here is
+    /// for who decides about it.
+    pub fn failed(&mut self, spoilt: bool) -> std::time::Duration {
+        self.session.failed(spoilt)
+    }
+}
--- a/proxy/src/discovery/list.rs
+++ b/discovery/src/list.rs
@@ -9,10 +9,29 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::config::Names;
-use crate::hosts::{Hosts, Place};
 use crate::ids::Ids;
 
+/// A host as discovery has it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Place {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// When its process last started, in Unix milliseconds; 0 is long ago.
+    pub since_ms: u64,
+    /// Whether it wants new work.
+    pub serving: bool,
+}
+
+/// Whoever has connections to hosts, and follows where they are.
+pub trait Places {
+    /// Those that are known at present.
+    fn known(&self) -> Vec<HostId>;
+    /// Takes in what discovery says of a host.
+    fn place(&self, host: HostId, place: Place);
+    /// Takes out a host that is gone.
+    fn remove(&self, host: HostId);
+}
+
 /// An answer of discovery.
 #[derive(Deserialize)]
 pub struct List {
@@ -59,29 +78,34 @@
 pub struct Entries {
     /// In the decisions' form, with where the host is reached.
     pub read: Vec<(HostEntry, Option<Place>)>,
-    /// How many could not be read, and were logged.
-    pub unreadable: usize,
+    /// Why an entry could not be read; one for each.
+    pub problems: Vec<String>,
     as_written: BTreeMap<String, Value>,
 }
 
 /// Reads lists, and has the connections follow them.
-pub struct Reader {
-    /// In the order of the settings' numbers.
-    pub names: Names,
+pub struct Reader<P> {
+    /// Names of zones, in the order of the settings' numbers.
+    pub zones: Vec<String>,
+    /// Names of the kinds of hosts, likewise.
+    pub kinds: Vec<String>,
     /// Whose places the list tells.
-    pub hosts: Rc<Hosts>,
+    pub hosts: Rc<P>,
     /// The numbers of the hosts.
     pub ids: Rc<Ids>,
     /// The list as it is handed on, each entry as discovery wrote it; nothing where it is handed on to nobody.
     pub listed: Option<RefCell<BTreeMap<String, Value>>>,
 }
 
-impl Reader {
-    /// Entries in the decisions' form; bad ones are skipped and logged. Nothing follows from them before
+impl<P: Places> Reader<P> {
+    /// Entries in the decisions' form; bad ones are left out, with the reason. Nothing follows from them before
     /// [`Reader::follow`].
     pub fn read(&self, endpoints: Vec<Value>) -> Entries {
-        let mut entries =
-            Entries { read: Vec::with_capacity(endpoints.len()), unreadable: 0, as_written: BTreeMap::new() };
+        let mut entries = Entries {
+            read: Vec::with_capacity(endpoints.len()),
+            problems: Vec::new(),
+            as_written: BTreeMap::new(),
+        };
         for value in endpoints {
             let written = self.listed.as_ref().map(|_| value.clone());
             match self.read_one(value) {
@@ -91,10 +115,7 @@
                     }
                     entries.read.push((entry, place));
                 }
-                Err(problem) => {
-                    entries.unreadable += 1;
-                    eprintln!("martensill: discovery: an entry is left out: {problem}");
-                }
+                Err(problem) => entries.problems.push(problem),
             }
         }
         entries
@@ -122,8 +143,8 @@
         let entry = HostEntry {
             host: self.ids.of(&endpoint.name),
             // Out of range where the settings do not name it: the decisions have a place for those.
-            zone: index(&self.names.zones, &endpoint.zone).unwrap_or(usize::MAX),
-            kind: index(&self.names.kinds, &endpoint.kind).unwrap_or(usize::MAX),
+            zone: index(&self.zones, &endpoint.zone).unwrap_or(usize::MAX),
+            kind: index(&self.kinds, &endpoint.kind).unwrap_or(usize::MAX),
             cell: endpoint.group,
             weight: endpoint.weight,
             started: (endpoint.since_ms > 0).then_some(endpoint.since_ms as f64),
--- a/proxy/src/discovery/session.rs
+++ b/discovery/src/session.rs
@@ -56,8 +56,9 @@
     pub index: u64,
     /// It is the whole list.
     pub whole: bool,
-    /// Entries that were read, and those that could not be.
+    /// Entries that were read.
     pub read: usize,
+    /// And those that could not be.
     pub unreadable: usize,
 }
 
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -1,8 +1,5 @@
 //! Discovery: lists and watches, turned into news for the decisions and places for the connections. Which call comes
-//! next, and until when it has to be answered, is kept in `session`; here are the sockets.
-
-mod list;
-mod session;
+//! next, until when it has to be answered and what the answer says is `milletspoke_discovery`'s; here are the sockets.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -16,6 +13,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use marblebay::{Discovery as Mode, HostNews};
+use milletspoke_discovery::{Answer, Follower, NotAList, Reader};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use serde_json::{Value, json};
@@ -25,8 +23,6 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
-use self::list::{List, Reader};
-use self::session::{Session, Told, Verdict};
 use crate::config::Names;
 use crate::driver::{Ask, Driver};
 use crate::handover::Handover;
@@ -52,10 +48,8 @@
     Status(StatusCode),
     #[error("no whole answer: {0}")]
     Body(Box<dyn std::error::Error + Send + Sync>),
-    #[error("not a list: {0}")]
-    Form(#[from] serde_json::Error),
-    #[error("a whole list without one entry that can be read")]
-    Entries,
+    #[error("{0}")]
+    List(#[from] NotAList),
     #[error("no answer in time")]
     Silent(#[from] tokio::time::error::Elapsed),
 }
@@ -63,7 +57,7 @@
 impl CallError {
     /// An answer came, and it is no list.
     fn is_spoilt(&self) -> bool {
-        matches!(self, CallError::Body(_) | CallError::Form(_) | CallError::Entries)
+        matches!(self, CallError::Body(_) | CallError::List(_))
     }
 }
 
@@ -75,9 +69,8 @@
     driver: Rc<Driver>,
     /// Where the list is handed on to the next process, if there is to be one.
     handover: Option<Rc<Handover>>,
-    reader: Reader,
+    follower: Follower<Hosts>,
     rng: Pcg32,
-    session: Session,
     link: Option<Link>,
     failing: bool,
     ready: watch::Sender<bool>,
@@ -95,14 +88,14 @@
         handover: Option<Rc<Handover>>,
     ) -> Discovery {
         let listed = handover.as_ref().map(|_| RefCell::default());
+        let Names { zones, kinds, .. } = names;
         Discovery {
             address,
             mode,
-            reader: Reader { names, hosts, ids: driver.ids(), listed },
+            follower: Follower::new(Reader { zones, kinds, hosts, ids: driver.ids(), listed }),
             driver,
             handover,
             rng: Pcg32::seed_from_u64(seed),
-            session: Session::new(None),
             link: None,
             failing: false,
             ready: watch::Sender::new(false),
@@ -117,11 +110,11 @@
     /// Follows the list for as long as the program runs, beginning with what was `known` before.
     pub async fn run(mut self, known: Option<Value>, mut asks: mpsc::UnboundedReceiver<Ask>) {
         let mut heard = false;
-        match known.map(serde_json::from_value::<List>) {
+        match known.map(serde_json::from_value) {
             Some(Ok(list)) => {
                 // Where lists are pushed the whole list is to be had for nothing, so no old version is built on.
-                self.session = Session::new(Some(list.index).filter(|_| self.mode == Mode::Subscribe));
-                let entries = self.reader.follow(self.reader.read(list.endpoints), true);
+                let entries = self.follower.known(list, self.mode == Mode::Subscribe);
+                self.say_problems();
                 if !entries.is_empty() {
                     let ready = self.ready.clone();
                     spawn_local(async move {
@@ -168,7 +161,7 @@
     /// Lists that are asked for: the decisions say when, and back off by themselves.
     async fn answer(&mut self, ask: Ask) {
         if ask == Ask::Fetch {
-            self.session = Session::new(None);
+            self.follower.forget_version();
         }
         loop {
             if let Err(error) = self.next().await {
@@ -182,14 +175,14 @@
     /// One call and what it tells.
     async fn next(&mut self) -> Result<(), CallError> {
         let asked = Instant::now();
-        let (link, list) = loop {
+        let (link, body) = loop {
             if self.address.has_changed().unwrap_or(false) {
                 // A link to where discovery no longer is is of no more use.
                 self.link = None;
-                self.session.moved();
+                self.follower.moved();
             }
             let address = *self.address.borrow_and_update();
-            let call = self.session.call();
+            let call = self.follower.call();
             let path = call.path();
             // Guards against a dead or silent link: whatever fails, the next call begins with a new one.
             let link = self.link.take();
@@ -199,43 +192,45 @@
                 Ok(()) = self.address.changed() => self.address.mark_changed(),
             }
         };
+        let answer = self.follower.answered(&body);
+        self.say_problems();
+        let answer = answer?;
         self.link = Some(link);
         if self.failing {
             self.failing = false;
             eprintln!("martensill: discovery answers again");
         }
-        let (index, whole, empty) = (list.index, list.snapshot, list.endpoints.is_empty());
-        let entries = self.reader.read(list.endpoints);
-        let (read, unreadable) = (entries.read.len(), entries.unreadable);
-        // Guards against a whole list that is no good: it says of no host that it is gone.
-        if whole && !empty && read == 0 {
-            return Err(CallError::Entries);
-        }
-        let waited = self.session.call().wait;
-        if self.session.answered(Told { index, whole, read, unreadable }) == Verdict::Doubtful {
-            eprintln!(
-                "martensill: discovery: version {index} does not follow what is held: asking for all of it"
-            );
-            sleep(BREATH).await;
-            return Ok(());
-        }
-        let entries = self.reader.follow(entries, whole);
+        let (index, news, in_vain) = match answer {
+            Answer::Taken { index, news, in_vain } => (index, news, in_vain),
+            Answer::Doubtful { index } => {
+                eprintln!(
+                    "martensill: discovery: version {index} does not follow what is held: asking for all of it"
+                );
+                sleep(BREATH).await;
+                return Ok(());
+            }
+        };
         self.hand_on(index);
-        if whole {
-            self.driver.hear(HostNews::Complete(entries));
-        } else if !empty || self.mode == Mode::Subscribe {
-            self.driver.hear(HostNews::Changes(entries));
+        let nothing = matches!(&news, HostNews::Changes(changes) if changes.is_empty());
+        if !nothing || self.mode == Mode::Subscribe {
+            self.driver.hear(news);
         }
         self.ready.send_replace(true);
-        if empty && !waited.is_zero() && asked.elapsed() < BREATH {
+        if in_vain && asked.elapsed() < BREATH {
             sleep(BREATH).await;
         }
         Ok(())
     }
 
+    fn say_problems(&self) {
+        for problem in self.follower.problems() {
+            eprintln!("martensill: discovery: an entry is left out: {problem}");
+        }
+    }
+
     /// Leaves the list for the next process. One that cannot be written is only missed if there is a next process.
     fn hand_on(&self, index: u64) {
-        let (Some(handover), Some(listed)) = (&self.handover, &self.reader.listed) else { return };
+        let (Some(handover), Some(listed)) = (&self.handover, &self.follower.reader().listed) else { return };
         let endpoints: Vec<Value> = listed.borrow().values().cloned().collect();
         let list = json!({"index": index, "snapshot": true, "endpoints": endpoints});
         if handover.state().list.as_ref() != Some(&list)
@@ -251,13 +246,13 @@
             self.failing = true;
             eprintln!("martensill: discovery: {error}");
         }
-        self.session.failed(error.is_spoilt())
+        self.follower.failed(error.is_spoilt())
     }
 }
 
 type Link = SendRequest<Empty<Bytes>>;
 
-async fn exchange(link: Option<Link>, address: SocketAddr, path: &str) -> Result<(Link, List), CallError> {
+async fn exchange(link: Option<Link>, address: SocketAddr, path: &str) -> Result<(Link, Bytes), CallError> {
     let kept = match link {
         Some(mut link) => link.ready().await.is_ok().then_some(link),
         None => None,
@@ -275,7 +270,7 @@
         return Err(CallError::Status(head.status));
     }
     let body = Limited::new(body, LIST_MOST).collect().await.map_err(CallError::Body)?.to_bytes();
-    Ok((link, serde_json::from_slice(&body)?))
+    Ok((link, body))
 }
 
 async fn dial(address: SocketAddr) -> Result<Link, CallError> {
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -10,6 +10,7 @@
     Action, AttemptEnd, Balancer, Event, HostId, HostNews, LoadReport, Millis, NewRequest, Outcome,
     RequestId, Settings, SettingsError, ZoneLeft,
 };
+use milletspoke_discovery::{Ids, Places};
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
@@ -21,7 +22,6 @@
 use crate::ending::{Awaited, Passing};
 use crate::handover::{Handover, State};
 use crate::hosts::{Answered, End, Hosts, Served, millis};
-use crate::ids::Ids;
 use crate::order::Order;
 use crate::sockets::HangUp;
 
--- a/proxy/src/hosts.rs
+++ b/proxy/src/hosts.rs
@@ -3,7 +3,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -18,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use marblebay::{HostId, LoadReport, Outcome};
 use marblebay_benchlink::{Metrics, read_metrics};
+use milletspoke_discovery::{Place, Places};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
@@ -159,17 +159,6 @@
     }
 }
 
-/// A host as discovery has it.
-#[derive(Clone, Copy, PartialEq)]
-pub struct Place {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// When its process last started.
-    pub since_ms: u64,
-    /// Whether it wants new work.
-    pub serving: bool,
-}
-
 /// An open connection; closed when dropped.
 struct Conn {
     sender: SendRequest<Outgoing>,
@@ -218,26 +207,6 @@
         })
     }
 
-    /// Takes in what discovery says of a host. Connections to an earlier process or address, or to a host that
-    /// wants nothing new, are of no more use.
-    pub fn place(&self, host: HostId, place: Place) {
-        let mut table = self.table.borrow_mut();
-        let upstream = table.entry(host).or_insert_with(|| Upstream { place, idle: Vec::new() });
-        if upstream.place != place {
-            *upstream = Upstream { place, idle: Vec::new() };
-        }
-    }
-
-    /// Takes out a host that is gone.
-    pub fn remove(&self, host: HostId) {
-        self.table.borrow_mut().remove(&host);
-    }
-
-    /// Those that are known at present.
-    pub fn known(&self) -> Vec<HostId> {
-        self.table.borrow().keys().copied().collect()
-    }
-
     /// How many attempts were written to their last byte.
     pub fn written_whole(&self) -> u64 {
         self.written_whole.get()
@@ -432,6 +401,25 @@
     }
 }
 
+impl Places for Hosts {
+    /// Connections to an earlier process or address, or to a host that wants nothing new, are of no more use.
+    fn place(&self, host: HostId, place: Place) {
+        let mut table = self.table.borrow_mut();
+        let upstream = table.entry(host).or_insert_with(|| Upstream { place, idle: Vec::new() });
+        if upstream.place != place {
+            *upstream = Upstream { place, idle: Vec::new() };
+        }
+    }
+
+    fn remove(&self, host: HostId) {
+        self.table.borrow_mut().remove(&host);
+    }
+
+    fn known(&self) -> Vec<HostId> {
+        self.table.borrow().keys().copied().collect()
+    }
+}
+
 /// Milliseconds of the settings as a time; absurdly long ones are cut to a day.
 pub fn millis(ms: f64) -> Duration {
     Duration::from_secs_f64(ms.clamp(0.0, 86_400_000.0) / 1000.0)
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -11,7 +11,6 @@
 mod ending;
 mod handover;
 mod hosts;
-mod ids;
 mod inherit;
 mod memory;
 mod order;
