Name what a scale run is: points, figures, fits

Need: the runs with real client proxies, the hollow ones and the capacity page are written side by side and have to meet in one form of figures.

--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -14,6 +14,7 @@
 mod link;
 mod run;
 mod saturate;
+mod scale;
 mod scenario;
 mod servers;
 mod station;
@@ -100,10 +101,35 @@
         #[arg(long)]
         html: PathBuf,
     },
+    /// Finds what the fleet's size costs: one axis at a time, one seed.
+    Scale {
+        #[command(subcommand)]
+        call: ScaleCall,
+    },
     /// Lists the scenarios that come with the testbed.
     List,
 }
 
+#[derive(Subcommand)]
+enum ScaleCall {
+    /// Makes one run. Ends with 0, or with 2 where it was not made or does not count.
+    Run {
+        /// Which one.
+        name: String,
+        /// All chance is from it.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Where the figures go as JSON; to standard output, if not given.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// The client proxy's program; that of this repository, built anew, if not given.
+        #[arg(long)]
+        binary: Option<PathBuf>,
+    },
+    /// Lists the runs.
+    List,
+}
+
 /// The scenarios that come with the testbed.
 fn shipped() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios")
@@ -128,6 +154,7 @@
         }
         Call::Saturate { clients, seconds, binary } => saturate_one(clients, seconds, binary),
         Call::Report { json, html } => write_page(&json, &html),
+        Call::Scale { call } => scaled(call),
         Call::List => list().map(|()| ExitCode::SUCCESS),
     };
     done.unwrap_or_else(|error| {
@@ -206,6 +233,33 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn scaled(call: ScaleCall) -> Result<ExitCode, Failed> {
+    match call {
+        ScaleCall::Run { name, seed, json, binary } => {
+            let binary = binary.map_or_else(built, Ok)?;
+            let dir = std::env::temp_dir().join(format!("testbed-{}", std::process::id()));
+            fs::create_dir_all(&dir)?;
+            let run = scale::run(&name, &scale::Options { binary, seed, dir: dir.clone() });
+            // Left behind at worst, in the folder for what may be left behind.
+            let _ = fs::remove_dir_all(&dir);
+            let run = run?;
+            let text = serde_json::to_string_pretty(&run)? + "\n";
+            match json {
+                Some(path) => fs::write(path, text)?,
+                None => print!("{text}"),
+            }
+            if let Some(why) = &run.void {
+                println!("VOID: {why}");
+            }
+            Ok(ExitCode::from(if run.void.is_some() { NOT_PLAYED } else { 0 }))
+        }
+        ScaleCall::List => {
+            scale::RUNS.iter().for_each(|known| println!("{:24} {}", known.name, known.about));
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
 fn write_page(json: &Path, html: &Path) -> Result<ExitCode, Failed> {
     let report: Report = serde_json::from_slice(&fs::read(json)?)?;
     fs::create_dir_all(html)?;
