Measure an idle client proxy by the length of its list

Need: the capacity of a large fleet rests on what the list costs each client proxy at rest and by change, and no run says so with the real program.

Change: the scale run has a lean stand-in of discovery (answers made ahead, watches, bytes by direction) and the run client-endpoints; the runs client-changes, client-burst and client-latency are set up and not made yet.

--- a/testbed/src/saturate.rs
+++ b/testbed/src/saturate.rs
@@ -152,7 +152,8 @@
     Ok(addresses)
 }
 
-fn on_a_thread<T: Send + 'static>(
+/// Runs it on a thread of its own, whose tasks end with it.
+pub(crate) fn on_a_thread<T: Send + 'static>(
     work: impl Future<Output = io::Result<T>> + Send + 'static,
 ) -> std::thread::JoinHandle<io::Result<T>> {
     std::thread::spawn(move || {
@@ -166,9 +167,7 @@
         if silent.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
         }
-        let txn = request.headers().get("x-txn").and_then(|txn| txn.to_str().ok());
-        let txn = txn.and_then(|txn| usize::from_str_radix(txn, 16).ok()).unwrap_or(usize::MAX);
-        Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(body_of(Txn(txn))))))
+        Ok::<_, Infallible>(answer_at_once(&request))
     };
     while let Ok((stream, _)) = listener.accept().await {
         // Fails only where the connection is broken already.
@@ -182,6 +181,13 @@
     }
 }
 
+/// What an order server makes of a request without any work.
+pub(crate) fn answer_at_once(request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let txn = request.headers().get("x-txn").and_then(|txn| txn.to_str().ok());
+    let txn = txn.and_then(|txn| usize::from_str_radix(txn, 16).ok()).unwrap_or(usize::MAX);
+    Response::new(Full::new(Bytes::from(body_of(Txn(txn)))))
+}
+
 /// What clients counted.
 struct Counted {
     latency: Histogram<u64>,
@@ -248,7 +254,8 @@
     Ok(all)
 }
 
-async fn connect(address: SocketAddr) -> io::Result<SendRequest<Empty<Bytes>>> {
+/// A connection to a client proxy, or straight to an order server.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<SendRequest<Empty<Bytes>>> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
@@ -258,7 +265,7 @@
 }
 
 /// Whether a request is served, with what an order server made for it.
-async fn once(sender: &mut SendRequest<Empty<Bytes>>, class: &Class, txn: Txn) -> bool {
+pub(crate) async fn once(sender: &mut SendRequest<Empty<Bytes>>, class: &Class, txn: Txn) -> bool {
     let request = Request::get(format!("/{}", class.name))
         .header("host", "origin.svc")
         .header("x-txn", format!("{:016x}", txn.0))
--- a/testbed/src/scale.rs
+++ b/testbed/src/scale.rs
@@ -2,6 +2,7 @@
 //! from several seeds together; the page docs/CAPACITY.md multiplies them out.
 
 pub mod fit;
+pub mod real;
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -80,7 +81,20 @@
 }
 
 /// All runs.
-pub const RUNS: &[Known] = &[];
+pub const RUNS: &[Known] = &[
+    Known {
+        name: "client-endpoints",
+        about: "a client proxy by the length of its list",
+        make: real::client_endpoints,
+    },
+    Known { name: "client-changes", about: "a client proxy by changes a second", make: real::client_changes },
+    Known {
+        name: "client-burst",
+        about: "a client proxy by endpoints that change at once",
+        make: real::client_burst,
+    },
+    Known { name: "client-latency", about: "what a client proxy adds to a call", make: real::client_latency },
+];
 
 /// Makes one run.
 ///
