--- a/testbed/src/scale/real.rs
+++ b/testbed/src/scale/real.rs
@@ -56,6 +56,12 @@
     SocketAddrV4::new(Ipv4Addr::new(127, 1 + (process % 60) as u8, high, low), port)
 }
 
+/// The same for the endpoint that is watched, whose addresses do not come back.
+fn watched_place(process: usize, port: u16) -> SocketAddrV4 {
+    let [_, _, high, low] = (process as u32).to_be_bytes();
+    SocketAddrV4::new(Ipv4Addr::new(127, 128, high, low), port)
+}
+
 fn now_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
@@ -212,13 +218,14 @@
         let (now, port) = (now_ms(), self.servers.port);
         let mut moved = [Ipv4Addr::LOCALHOST; 2];
         let at = self.listing.change(numbers, |endpoint| {
-            let address = place(endpoint.number as usize, self.moves, port);
             if endpoint.number == 0 {
-                moved = [*endpoint.address.ip(), *address.ip()];
+                let from = *endpoint.address.ip();
+                endpoint.address = watched_place(self.moves, port);
+                moved = [from, *endpoint.address.ip()];
             } else {
+                endpoint.address = place(endpoint.number as usize, self.moves, port);
                 endpoint.since_ms = now;
             }
-            endpoint.address = address;
         });
         let [from, to] = moved;
         Move { at, from, to }
--- a/testbed/src/scale/real/changes.rs
+++ b/testbed/src/scale/real/changes.rs
@@ -1,5 +1,6 @@
 //! Changes of the list under a load: what they cost, and how long until they are in force.
 
+use std::collections::BTreeMap;
 use std::ops::Range;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -10,6 +11,7 @@
 
 use super::load::Arrival;
 use super::{Figures, Loaded, Move, Shape, figures, fixed, made};
+use crate::chance::stream;
 use crate::ledger::microseconds;
 use crate::scale::{Options, Run, ScaleError};
 
@@ -17,6 +19,8 @@
 const ENDPOINTS: usize = 340;
 /// Changes in force later than this are counted as missed; the platform asks for it.
 const WITHIN: Duration = Duration::from_secs(3);
+/// Requests a second of the mean client, and of one whose requests show sooner when a change is in force.
+const MEAN_CLIENT: f64 = 139.0;
 const PER_SECOND: f64 = 500.0;
 const QUIET: Duration = Duration::from_secs(5);
 
@@ -46,7 +50,7 @@
             let after = arrivals.iter().filter(|arrival| window.contains(&arrival.at));
             let micros = |arrival: &Arrival| (arrival.at - *at).as_micros() as u64;
             let first = after.clone().find(|arrival| arrival.address == *to).map(micros);
-            let last = after.filter(|arrival| arrival.address == *from).last().map(micros);
+            let last = after.rev().find(|arrival| arrival.address == *from).map(micros);
             match first {
                 Some(first) => seen.new.saturating_record(first),
                 None => seen.missed += 1,
@@ -78,7 +82,7 @@
             "changes",
             "at equal times; above one a second every other one is of an endpoint by chance, cold, elsewhere",
         ),
-        ("change_cpu_ms", "what the process used more than in 5 s without changes before, by changes"),
+        ("quiet_core_share", "in 5 s without changes before, with the same load"),
     ]);
     let rates = RATES.map(|(rate, _)| rate);
     made("client-changes", "changes a second, one endpoint each", options, fixed, &rates, |x, rng| {
@@ -117,7 +121,6 @@
     let own = [
         ("core_share", share),
         ("quiet_core_share", loaded.quiet),
-        ("change_cpu_ms", (share - loaded.quiet) * lasted * 1e3 / f64::from(count)),
         ("down_bytes_s", (told.down_bytes - traffic.down_bytes) as f64 / lasted),
         ("up_bytes_s", (told.up_bytes - traffic.up_bytes) as f64 / lasted),
         ("calls_s", (told.calls - traffic.calls) as f64 / lasted),
@@ -135,9 +138,9 @@
 
 const BURSTS: [f64; 4] = [1.0, 20.0, 340.0, 4_000.0];
 const LISTS: [usize; 3] = [340, 4_000, 36_000];
-/// Times that each burst is made, and the time between two.
+/// Times that each burst is made; it has the first half of its time for itself, the other half is to compare with.
 const TIMES: u32 = 5;
-const BURST_EVERY: Duration = Duration::from_millis(1_000);
+const HALF: Duration = Duration::from_millis(750);
 
 /// What endpoints that change at once cost, and when they are in force, with lists of three lengths.
 ///
@@ -147,63 +150,69 @@
     let fixed = fixed(&[
         IN_FORCE,
         STALE,
-        LOAD,
+        ("load", "139 requests a second, arrivals by chance; order servers answer at once"),
         (
             "endpoints",
             "340, 4000 and 36000, as the figures' names say; a burst of 340 or 4000 is the whole list there",
         ),
         (
             "bursts",
-            "5 of each, one a second; each endpoint keeps its name and has a new process: address and since_ms",
+            "5 of each, every 1.5 s; each endpoint keeps its name and has a new process: address and since_ms",
+        ),
+        (
+            "cpu_ms",
+            "mean of what the process used in the 750 ms from a burst more than in the 750 ms after these",
         ),
-        ("cpu_ms", "what the process used more than in 5 s without changes before, by bursts"),
     ]);
-    let mut by_list = Vec::new();
+    let mut by_size: BTreeMap<usize, Figures> = BTreeMap::new();
+    let mut rng = stream(options.seed, "client-burst lists");
     for count in LISTS {
-        let shape = Shape { endpoints: count, one_near: true, per_second: PER_SECOND, quiet: QUIET };
-        by_list.push((count, shape));
-    }
-    let mut running: Vec<(usize, Loaded)> = Vec::new();
-    made("client-burst", "endpoints that change at once", options, fixed, &BURSTS, |x, rng| {
-        if running.is_empty() {
-            for (count, shape) in &by_list {
-                let dir = options.dir.join(count.to_string());
-                let options = Options { binary: options.binary.clone(), seed: options.seed, dir };
-                running.push((*count, Loaded::start(&options, shape, rng)?));
-            }
-        }
-        let mut all = Figures::new();
-        for (count, loaded) in running.iter_mut().filter(|(count, _)| *count >= x as usize) {
-            let found = burst(loaded, *count, x as usize, rng)?;
+        let shape =
+            Shape { endpoints: count, one_near: true, per_second: MEAN_CLIENT, quiet: Duration::ZERO };
+        let mut loaded = Loaded::start(options, &shape, &mut rng)?;
+        for size in BURSTS.map(|size| size as usize).into_iter().filter(|size| *size <= count) {
+            let found = burst(&mut loaded, count, size, TIMES, &mut rng)?;
+            let all = by_size.entry(size).or_default();
             let late = found.get("late_ms_p99").copied().unwrap_or(0.0);
-            let worst = all.get("late_ms_p99").map_or(late, |known: &f64| known.max(late));
+            let late = all.get("late_ms_p99").map_or(late, |known| late.max(*known));
             all.extend(found.into_iter().map(|(name, figure)| (format!("{name}_of_{count}"), figure)));
-            all.insert("late_ms_p99".to_owned(), worst);
+            all.insert("late_ms_p99".to_owned(), late);
         }
-        Ok(all)
+    }
+    made("client-burst", "endpoints that change at once", options, fixed, &BURSTS, |x, _| {
+        Ok(by_size.remove(&(x as usize)).unwrap_or_default())
     })
 }
 
-fn burst(loaded: &mut Loaded, count: usize, size: usize, rng: &mut Pcg32) -> Result<Figures, ScaleError> {
+fn burst(
+    loaded: &mut Loaded,
+    count: usize,
+    size: usize,
+    times: u32,
+    rng: &mut Pcg32,
+) -> Result<Figures, ScaleError> {
     loaded.forget();
-    let (from, cpu, traffic) = (Instant::now(), loaded.process.cpu()?, loaded.listing.traffic());
-    let mut moves = Vec::new();
-    for nth in 1..=TIMES {
+    let (from, traffic) = (Instant::now(), loaded.listing.traffic());
+    let (mut moves, mut used, mut calm) = (Vec::new(), Duration::ZERO, Duration::ZERO);
+    for nth in 0..times {
         // The first one is watched; the others follow each other from a place by chance.
         let others = count - 1;
         let first = rng.next_u32() as usize % others;
         let numbers = (0..size - 1).map(|n| 1 + (first + n) % others);
         let numbers: Vec<usize> = std::iter::once(0).chain(numbers).collect();
+        let before = loaded.process.cpu()?;
         moves.push(loaded.replace(&numbers));
-        sleep((from + BURST_EVERY * nth).saturating_duration_since(Instant::now()));
+        sleep((from + HALF * (2 * nth + 1)).saturating_duration_since(Instant::now()));
+        let between = loaded.process.cpu()?;
+        sleep((from + HALF * (2 * nth + 2)).saturating_duration_since(Instant::now()));
+        (used, calm) = (used + (between - before), calm + (loaded.process.cpu()? - between));
     }
-    let (lasted, cpu) = (from.elapsed().as_secs_f64(), loaded.process.cpu()? - cpu);
     let told = loaded.listing.traffic();
     let seen = InForce::of(&moves, &loaded.servers.take());
-    let n = f64::from(TIMES);
+    let n = f64::from(times);
     let own = [
-        ("cpu_ms", (cpu.as_secs_f64() - loaded.quiet * lasted) * 1e3 / n),
-        ("quiet_core_share", loaded.quiet),
+        ("cpu_ms", (used.as_secs_f64() - calm.as_secs_f64()) * 1e3 / n),
+        ("calm_core_share", calm.as_secs_f64() / n / HALF.as_secs_f64()),
         ("down_bytes", (told.down_bytes - traffic.down_bytes) as f64 / n),
         ("missed", seen.missed as f64),
         ("in_force_ms_p50", ms(&seen.new, 0.5)),
