Suppose who calls whom in the fleet, and say how much a client proxy then holds

How much control costs a client proxy hangs on how many endpoints it calls, and nobody has told us that. So a law is stated that can be replaced: sizes of the 2,100 services go by c / i^0.8, 36,000 endpoints in all, and each service calls 10 to 30 others, all alike.

--- a/testbed/src/scale.rs
+++ b/testbed/src/scale.rs
@@ -2,6 +2,7 @@
 //! from several seeds together; the page docs/CAPACITY.md multiplies them out.
 
 pub mod fit;
+pub mod law;
 pub mod real;
 
 use std::collections::BTreeMap;
@@ -94,6 +95,11 @@
         make: real::client_burst,
     },
     Known { name: "client-latency", about: "what a client proxy adds to a call", make: real::client_latency },
+    Known {
+        name: "services",
+        about: "What a client proxy has to hold in the supposed fleet.",
+        make: law::make,
+    },
 ];
 
 /// Makes one run.
