Drive the follower and the decisions as hollow client proxies, in virtual time too

What control costs at 36,000 client proxies cannot be had from 36,000 processes. A hollow client proxy is the program's own control code without clients and order servers: milletspoke_discovery's follower and the decision module, driven as proxy/src/discovery.rs drives them. `hollow-endpoints` measures its memory and CPU by endpoints held; `fleet-virtual-*` has up to 36,000 of them follow one modelled discovery on a virtual clock.

--- a/testbed/src/scale.rs
+++ b/testbed/src/scale.rs
@@ -2,8 +2,10 @@
 //! from several seeds together; the page docs/CAPACITY.md multiplies them out.
 
 pub mod fit;
+pub mod hollow;
 pub mod law;
 pub mod real;
+pub mod virtual_fleet;
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -100,6 +102,22 @@
         about: "What a client proxy has to hold in the supposed fleet.",
         make: law::make,
     },
+    Known { name: "hollow-endpoints", about: "Hollow client proxies by endpoints held.", make: hollow::make },
+    Known {
+        name: "fleet-virtual-50us",
+        about: "A fleet in virtual time, 50 us a call.",
+        make: virtual_fleet::lean,
+    },
+    Known {
+        name: "fleet-virtual-1ms",
+        about: "A fleet in virtual time, 1 ms a call.",
+        make: virtual_fleet::slow,
+    },
+    Known {
+        name: "fleet-virtual-50ms",
+        about: "A fleet in virtual time, 50 ms a call.",
+        make: virtual_fleet::as_reckoned,
+    },
 ];
 
 /// Makes one run.
