Watch a lean discovery with thousands of hollow client proxies on real sockets

What discovery's own machine spends for each watcher was not known. `discovery-watchers` has up to 9,000 hollow client proxies, as the descriptors allow, watch a lean stand-in on a thread of its own: memory, CPU and bytes for each watcher, call, change and reconnect, answers encoded once and shared beside answers encoded for each, and how long a change takes until every follower has it. Scoped lists of 340 endpoints, and the whole fleet.

--- a/testbed/src/scale.rs
+++ b/testbed/src/scale.rs
@@ -6,6 +6,7 @@
 pub mod law;
 pub mod real;
 pub mod virtual_fleet;
+pub mod watchers;
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -103,6 +104,16 @@
         make: law::make,
     },
     Known { name: "hollow-endpoints", about: "Hollow client proxies by endpoints held.", make: hollow::make },
+    Known {
+        name: "discovery-watchers",
+        about: "Discovery by watchers, each told what it calls.",
+        make: watchers::scoped,
+    },
+    Known {
+        name: "discovery-watchers-whole",
+        about: "The same, each told of the whole fleet.",
+        make: watchers::whole,
+    },
     Known {
         name: "fleet-virtual-50us",
         about: "A fleet in virtual time, 50 us a call.",
--- a/testbed/src/scale/hollow.rs
+++ b/testbed/src/scale/hollow.rs
@@ -298,22 +298,22 @@
     numbers.truncate(endpoints as usize);
     let entries: Vec<String> = numbers.iter().map(|&endpoint| entry(endpoint, LONG_AGO, "SERVING")).collect();
     let whole = list(1, true, &entries);
-    let mut holding = || -> Result<Hollow, ScaleError> {
+    let mut holding = || -> Result<(Hollow, Vec<Todo>), ScaleError> {
         let mut hollow = Hollow::new(rng.next_u32(), ENDPOINTS, rng.next_u64(), Looks::Kept)?;
         let mut todo = Vec::new();
         hollow.start(0.0, None, &mut todo);
         take(&mut hollow, 0.0, &whole, &mut todo)?;
-        Ok(hollow)
+        Ok((hollow, todo))
     };
     // The first one leaves behind the room that reading a list takes.
-    let mut hollow = holding()?;
+    let (mut hollow, mut todo) = holding()?;
     let (before, count) = (resident_kb()?, (TOGETHER / endpoints).max(3));
     for _ in 0..count {
-        all.push(holding()?);
+        all.push(holding()?.0);
     }
     let memory_kb = (resident_kb()? - before) / f64::from(count);
 
-    let (mut now, mut todo) = (0.0, Vec::new());
+    let mut now = 0.0;
     let changes: Vec<String> = (1..=u64::from(CHANGES))
         .map(|n| {
             let changed = numbers[(chance::unit(rng) * numbers.len() as f64) as usize];
--- a/testbed/src/scale/virtual_fleet.rs
+++ b/testbed/src/scale/virtual_fleet.rs
@@ -35,6 +35,8 @@
 const ZONE_OVER: Millis = 1_000.0;
 const DOWN: Millis = 8_000.0;
 const RETURN: Millis = 30_000.0;
+/// How often it is looked whether all are back.
+const LOOK_EVERY: Millis = 50.0;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum What {
@@ -100,7 +102,7 @@
     asked: Millis,
     /// The version held.
     has: u64,
-    /// When it came to hold at least [`Fleet::wanted`], and when it was last answered.
+    /// When it first held at least [`Fleet::wanted`], and was first answered, since that was last asked.
     reached: Option<Millis>,
     answered: Option<Millis>,
 }
@@ -308,7 +310,7 @@
         // One that cannot be read has said so to the decisions, and what follows is to be done.
         if let Ok(Some(held)) = watcher.hollow.answered(now, watcher.asked, body.as_bytes(), &mut todo) {
             watcher.has = held;
-            watcher.answered = Some(now);
+            watcher.answered.get_or_insert(now);
             if held >= wanted {
                 watcher.reached.get_or_insert(now);
             }
@@ -428,7 +430,9 @@
     fleet.down = false;
     let from = fleet.now;
     fleet.watchers.iter_mut().for_each(|watcher| watcher.answered = None);
-    fleet.run(from + RETURN);
+    while fleet.now < from + RETURN && fleet.watchers.iter().any(|watcher| watcher.answered.is_none()) {
+        fleet.run(fleet.now + LOOK_EVERY);
+    }
     let (took, missing) = fleet.took(from, |watcher| watcher.answered);
     spread(&mut figures, "return", took);
     figures.push(("return_unreached_watchers".to_owned(), missing));
@@ -459,7 +463,7 @@
         (
             "return",
             format!(
-                "from the end of {} s without discovery, which keeps its list, to the first answer; followed for {} s",
+                "from the end of {} s without discovery, which keeps its list, to the first answer; calls and bytes until all have one or {} s are over",
                 DOWN / 1e3,
                 RETURN / 1e3
             ),
