Play how repeats multiply over levels of calls, and draw all scale runs on one page

`retry-depth` plays a row of up to 21 levels whose leaf fails, with the real decisions at each level in virtual time, beside the rule of a budget alone, for each level and for the whole tree, and beside plain arithmetic. `scale report` draws each figure of all runs over its axis, with the line of least squares, its slope and what it leaves over.

The event queue of the virtual fleet is a module of its own now, as both need one. In that fleet a call that need not wait is answered in one go: it had queued a second time, which made a crowded discovery look worse than the model means.

--- a/testbed/src/html.rs
+++ b/testbed/src/html.rs
@@ -95,7 +95,8 @@
     Ok(page)
 }
 
-fn escape(text: &str) -> String {
+/// Text as HTML has it.
+pub fn escape(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
 }
 
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -127,6 +127,14 @@
         #[arg(long)]
         binary: Option<PathBuf>,
     },
+    /// Makes a page of HTML of all runs that were written down.
+    Report {
+        /// The folder with what `scale run --json` wrote.
+        dir: PathBuf,
+        /// The page.
+        #[arg(long)]
+        html: PathBuf,
+    },
     /// Lists the runs.
     List,
 }
@@ -254,6 +262,10 @@
             }
             Ok(ExitCode::from(if run.void.is_some() { NOT_PLAYED } else { 0 }))
         }
+        ScaleCall::Report { dir, html } => {
+            fs::write(&html, scale::report::page(&scale::read_all(&dir)?)?)?;
+            Ok(ExitCode::SUCCESS)
+        }
         ScaleCall::List => {
             scale::RUNS.iter().for_each(|known| println!("{:24} {}", known.name, known.about));
             Ok(ExitCode::SUCCESS)
--- a/testbed/src/scale.rs
+++ b/testbed/src/scale.rs
@@ -1,10 +1,13 @@
 //! The scale run: one axis of the fleet's size at a time, with what it costs at each point. Slopes and their errors come
 //! from several seeds together; the page docs/CAPACITY.md multiplies them out.
 
+pub mod depth;
 pub mod fit;
 pub mod hollow;
 pub mod law;
 pub mod real;
+pub mod report;
+pub mod timeline;
 pub mod virtual_fleet;
 pub mod watchers;
 
@@ -129,6 +132,7 @@
         about: "A fleet in virtual time, 50 ms a call.",
         make: virtual_fleet::as_reckoned,
     },
+    Known { name: "retry-depth", about: "How repeats multiply over levels of calls.", make: depth::make },
 ];
 
 /// Makes one run.
--- a/testbed/src/scale/virtual_fleet.rs
+++ b/testbed/src/scale/virtual_fleet.rs
@@ -4,8 +4,7 @@
 //! Discovery takes calls one after another. Half of a call's service time goes to taking it in and half to its answer;
 //! between the two it may wait for news at no cost. A call that its caller has given up costs nothing more.
 
-use std::cmp::Ordering;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
 use marblebay::Millis;
@@ -14,6 +13,7 @@
 
 use super::hollow::{Hollow, Looks, Todo, entry, list};
 use super::law::REGIONS;
+use super::timeline::Timeline;
 use super::{Options, Point, Run, ScaleError};
 use crate::chance;
 
@@ -67,30 +67,6 @@
     number: u32,
 }
 
-struct Due {
-    at: Millis,
-    /// Of two at the same time the earlier one comes first.
-    turn: u64,
-    what: What,
-}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Due) -> Ordering {
-        other.at.total_cmp(&self.at).then(other.turn.cmp(&self.turn))
-    }
-}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Due) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl PartialEq for Due {
-    fn eq(&self, other: &Due) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-impl Eq for Due {}
-
 struct Watcher {
     hollow: Hollow,
     /// The number of its last call, and whether that is still out.
@@ -122,9 +98,7 @@
 }
 
 struct Fleet {
-    now: Millis,
-    turn: u64,
-    due: BinaryHeap<Due>,
+    timeline: Timeline<What>,
     watchers: Vec<Watcher>,
     service: Millis,
     jobs: VecDeque<Job>,
@@ -156,9 +130,7 @@
             answered: None,
         };
         let mut fleet = Fleet {
-            now: 0.0,
-            turn: 0,
-            due: BinaryHeap::new(),
+            timeline: Timeline::default(),
             watchers: hollows?.into_iter().map(watcher).collect(),
             service,
             jobs: VecDeque::new(),
@@ -183,29 +155,24 @@
         1 + self.changes.len() as u64
     }
 
-    fn at(&mut self, at: Millis, what: What) {
-        self.turn += 1;
-        self.due.push(Due { at, turn: self.turn, what });
+    fn now(&self) -> Millis {
+        self.timeline.now()
     }
 
     fn carry_out(&mut self, watcher: u32, todo: Vec<Todo>) {
         for todo in todo {
             match todo {
-                Todo::Call { after } => self.at(self.now + after, What::Dial { watcher }),
-                Todo::Timer { at, token } => self.at(at, What::Wake { watcher, token }),
+                Todo::Call { after } => self.timeline.after(after, What::Dial { watcher }),
+                Todo::Timer { at, token } => self.timeline.at(at, What::Wake { watcher, token }),
             }
         }
     }
 
     /// Plays on until then.
     fn run(&mut self, until: Millis) {
-        while self.due.peek().is_some_and(|due| due.at <= until) {
-            if let Some(Due { at, what, .. }) = self.due.pop() {
-                self.now = at.max(self.now);
-                self.come(what);
-            }
+        while let Some(what) = self.timeline.next(until) {
+            self.come(what);
         }
-        self.now = until;
     }
 
     fn is_out(&self, call: CallId) -> bool {
@@ -214,7 +181,7 @@
     }
 
     fn come(&mut self, what: What) {
-        let now = self.now;
+        let now = self.now();
         match what {
             What::Wake { watcher, token } => {
                 let mut todo = Vec::new();
@@ -237,24 +204,26 @@
     }
 
     fn dial(&mut self, number: u32) {
+        let now = self.now();
         let watcher = &mut self.watchers[number as usize];
         let call = watcher.hollow.call();
         watcher.call += 1;
-        (watcher.out, watcher.parked, watcher.after, watcher.asked) = (true, false, call.after, self.now);
+        (watcher.out, watcher.parked, watcher.after, watcher.asked) = (true, false, call.after, now);
         watcher.wait = call.wait.as_secs_f64() * 1e3;
         let id = CallId { watcher: number, number: watcher.call };
         self.counts.calls += 1.0;
         if self.down {
-            return self.at(self.now + WAY, What::Fail(id));
+            return self.timeline.after(WAY, What::Fail(id));
         }
-        self.at(self.now + call.within.as_secs_f64() * 1e3, What::GiveUp(id));
+        self.timeline.after(call.within.as_secs_f64() * 1e3, What::GiveUp(id));
         self.queue(Job::TakeIn(id));
     }
 
     fn fail(&mut self, call: CallId) {
+        let now = self.now();
         let (watcher, mut todo) = (&mut self.watchers[call.watcher as usize], Vec::new());
         (watcher.out, watcher.parked) = (false, false);
-        watcher.hollow.failed(self.now, false, &mut todo);
+        watcher.hollow.failed(now, false, &mut todo);
         self.counts.failed += 1.0;
         self.carry_out(call.watcher, todo);
     }
@@ -262,28 +231,29 @@
     fn queue(&mut self, job: Job) {
         self.jobs.push_back(job);
         if self.jobs.len() == 1 {
-            self.at(self.now + self.service / 2.0, What::Done);
+            self.timeline.after(self.service / 2.0, What::Done);
         }
     }
 
     fn done(&mut self) {
         match self.jobs.pop_front() {
             Some(Job::TakeIn(call)) if self.is_out(call) => {
-                let version = self.version();
+                let (now, version) = (self.now(), self.version());
                 let watcher = &mut self.watchers[call.watcher as usize];
                 if watcher.after == Some(version) && watcher.wait > 0.0 {
                     watcher.parked = true;
-                    let over = self.now + watcher.wait;
+                    let over = now + watcher.wait;
                     self.parked.push_back(call);
-                    self.at(over, What::WaitOver(call));
+                    self.timeline.at(over, What::WaitOver(call));
                 } else {
-                    self.jobs.push_back(Job::Reply(call));
+                    // What need not wait is answered in one go.
+                    self.jobs.push_front(Job::Reply(call));
                 }
             }
             Some(Job::Reply(call)) if self.is_out(call) => {
                 let after = self.watchers[call.watcher as usize].after;
                 let version = self.version();
-                self.at(self.now + WAY, What::Answer { call, after, version });
+                self.timeline.after(WAY, What::Answer { call, after, version });
             }
             _ => {}
         }
@@ -294,7 +264,7 @@
             self.jobs.pop_front();
         }
         if !self.jobs.is_empty() {
-            self.at(self.now + self.service / 2.0, What::Done);
+            self.timeline.after(self.service / 2.0, What::Done);
         }
     }
 
@@ -304,7 +274,7 @@
         }
         let body = self.body(after, version);
         self.counts.bytes += body.len() as f64 + HEAD_BYTES;
-        let (now, wanted) = (self.now, self.wanted);
+        let (now, wanted) = (self.now(), self.wanted);
         let (watcher, mut todo) = (&mut self.watchers[call.watcher as usize], Vec::new());
         watcher.out = false;
         // One that cannot be read has said so to the decisions, and what follows is to be done.
@@ -361,7 +331,7 @@
     /// How long after `from` each watcher got there; whoever did not is taken to get there now, and counted.
     fn took(&self, from: Millis, of: fn(&Watcher) -> Option<Millis>) -> (Vec<f64>, f64) {
         let missing = self.watchers.iter().filter(|watcher| of(watcher).is_none()).count();
-        let took = |watcher: &Watcher| (of(watcher).unwrap_or(self.now) - from) / 1e3;
+        let took = |watcher: &Watcher| (of(watcher).unwrap_or(self.now()) - from) / 1e3;
         (self.watchers.iter().map(took).collect(), missing as f64)
     }
 
@@ -370,12 +340,11 @@
         self.down = true;
         self.jobs.clear();
         self.parked.clear();
-        self.due.retain(|due| due.what != What::Done);
+        self.timeline.retain(|what| *what != What::Done);
         for (n, watcher) in self.watchers.iter_mut().enumerate().filter(|(_, watcher)| watcher.out) {
             watcher.parked = false;
             let call = CallId { watcher: n as u32, number: watcher.call };
-            self.turn += 1;
-            self.due.push(Due { at: self.now + WAY / 2.0, turn: self.turn, what: What::Fail(call) });
+            self.timeline.after(WAY / 2.0, What::Fail(call));
         }
     }
 }
@@ -402,8 +371,8 @@
     figures.push(("down_bytes_s_watcher".to_owned(), rest.bytes / (REST / 1e3) / all));
 
     // At any point of a watch's wait.
-    fleet.run(fleet.now + 1_500.0 * chance::unit(rng));
-    let from = fleet.now;
+    fleet.run(fleet.now() + 1_500.0 * chance::unit(rng));
+    let from = fleet.now();
     fleet.want(fleet.version() + 1);
     fleet.change(rng.next_u32() % HOSTS);
     fleet.run(from + FOLLOW);
@@ -411,13 +380,13 @@
     spread(&mut figures, "in_force", took);
     figures.push(("unreached_watchers".to_owned(), missing));
 
-    let (zone, began) = (rng.next_u32() % HOSTS, fleet.now);
+    let (zone, began) = (rng.next_u32() % HOSTS, fleet.now());
     fleet.want(fleet.version() + u64::from(ZONE));
     for n in 1..=ZONE {
         fleet.run(began + ZONE_OVER * f64::from(n) / f64::from(ZONE));
         fleet.change(zone);
     }
-    let from = fleet.now;
+    let from = fleet.now();
     fleet.run(from + FOLLOW);
     let (took, missing) = fleet.took(from, |watcher| watcher.reached);
     spread(&mut figures, "zone_in_force", took);
@@ -425,13 +394,13 @@
 
     fleet.counts = Counts::default();
     fleet.go_down();
-    fleet.run(fleet.now + DOWN);
+    fleet.run(fleet.now() + DOWN);
     let away = std::mem::take(&mut fleet.counts);
     fleet.down = false;
-    let from = fleet.now;
+    let from = fleet.now();
     fleet.watchers.iter_mut().for_each(|watcher| watcher.answered = None);
-    while fleet.now < from + RETURN && fleet.watchers.iter().any(|watcher| watcher.answered.is_none()) {
-        fleet.run(fleet.now + LOOK_EVERY);
+    while fleet.now() < from + RETURN && fleet.watchers.iter().any(|watcher| watcher.answered.is_none()) {
+        fleet.run(fleet.now() + LOOK_EVERY);
     }
     let (took, missing) = fleet.took(from, |watcher| watcher.answered);
     spread(&mut figures, "return", took);
--- a/testbed/src/scale/virtual_fleet/tests.rs
+++ b/testbed/src/scale/virtual_fleet/tests.rs
@@ -23,7 +23,7 @@
 #[test]
 fn a_change_reaches_all_one_after_another() {
     let mut fleet = fleet(20, 1.0);
-    let from = fleet.now;
+    let from = fleet.now();
     fleet.want(2);
     fleet.change(4);
     fleet.run(from + FOLLOW);
@@ -39,17 +39,17 @@
     let mut fleet = fleet(30, 1.0);
     fleet.go_down();
     fleet.counts = Counts::default();
-    fleet.run(fleet.now + DOWN);
+    fleet.run(fleet.now() + DOWN);
     assert!(fleet.counts.failed >= 30.0 && fleet.counts.bytes == 0.0, "{:?}", fleet.counts);
     fleet.down = false;
-    let from = fleet.now;
+    let from = fleet.now();
     fleet.watchers.iter_mut().for_each(|watcher| watcher.answered = None);
     fleet.run(from + RETURN);
     assert_eq!(fleet.took(from, |watcher| watcher.answered).1, 0.0);
 
     let mut crowded = self::fleet(400, 50.0);
     crowded.counts = Counts::default();
-    crowded.run(crowded.now + 10_000.0);
+    crowded.run(crowded.now() + 10_000.0);
     assert!(crowded.counts.failed > 0.0, "{:?}", crowded.counts);
 }
 
--- a/testbed/src/scale/watchers.rs
+++ b/testbed/src/scale/watchers.rs
@@ -32,11 +32,14 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use super::hollow::{Hollow, Looks, Todo, cpu_us, entry, list, resident_kb};
+use super::hollow::{Hollow, Looks, Todo, cpu_us as cpu_us_now, entry, list, resident_kb};
 use super::law::ENDPOINTS;
 use super::{Options, Point, Run, ScaleError};
 use crate::chance;
 
+/// With more watchers no change is played: their own one thread is then what a change waits for. In a trial with 9,000 it
+/// had 48,504 calls fail.
+const CHANGES_UP_TO: u32 = 3_000;
 const AXIS: [u32; 5] = [100, 300, 1_000, 3_000, 9_000];
 /// Descriptors besides the two of each watcher.
 const OTHER_DESCRIPTORS: u64 = 100;
@@ -99,6 +102,9 @@
     up: f64,
 }
 
+/// The version that is held, if any, and the scope, if the list has one.
+type Asked = (Option<u64>, Option<u32>);
+
 /// The part of discovery that answers; all of it on one thread.
 struct Discovery {
     endpoints: u32,
@@ -107,7 +113,7 @@
     since: RefCell<Vec<u64>>,
     newest: watch::Sender<u64>,
     /// By what they bring from where, and for which scope; of the newest version alone.
-    encoded: RefCell<HashMap<(Option<u64>, Option<u32>), Bytes>>,
+    encoded: RefCell<HashMap<Asked, Bytes>>,
     calls: Cell<u64>,
     down: Cell<u64>,
     up: Cell<u64>,
@@ -136,7 +142,7 @@
 
     fn counts(&self) -> Counts {
         let [calls, down, up] = [&self.calls, &self.down, &self.up].map(|count| count.get() as f64);
-        Counts { cpu_us: cpu_us(), calls, down, up }
+        Counts { cpu_us: cpu_us_now(), calls, down, up }
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
@@ -509,22 +515,9 @@
         ("testbed_late_ms_p99", late.as_secs_f64() * 1e3),
     ]);
 
-    let mut version = 1;
-    let shared = changes(&server, &board, pace.changes, &mut version, rng).await?;
-    server.order(Order::Form(Form::ForEach))?;
-    let for_each = changes(&server, &board, pace.changes, &mut version, rng).await?;
-    server.order(Order::Form(Form::Shared))?;
-    let [p50, p99, max] = shared.in_force_ms;
-    figures.extend([
-        ("in_force_ms_p50", p50),
-        ("in_force_ms_p99", p99),
-        ("in_force_ms_max", max),
-        ("change_cpu_us_watcher", shared.cpu_us),
-        ("change_bytes_watcher", shared.bytes),
-        ("for_each_in_force_ms_max", for_each.in_force_ms[2]),
-        ("for_each_change_cpu_us_watcher", for_each.cpu_us),
-        ("failed_calls", f64::from(board.failed.get())),
-    ]);
+    if watchers <= CHANGES_UP_TO {
+        figures.extend(changed(&server, &board, pace.changes, rng).await?);
+    }
 
     let from = server.count().await?;
     board.forget_answers();
@@ -543,6 +536,33 @@
     Ok(Point { x: f64::from(watchers), figures })
 }
 
+/// Changes with answers in either form.
+async fn changed(
+    server: &Server,
+    board: &Board,
+    count: u32,
+    rng: &mut Pcg32,
+) -> Result<Vec<(&'static str, f64)>, ScaleError> {
+    let mut version = 1;
+    let shared = changes(server, board, count, &mut version, rng).await?;
+    server.order(Order::Form(Form::ForEach))?;
+    let for_each = changes(server, board, count, &mut version, rng).await?;
+    server.order(Order::Form(Form::Shared))?;
+    let [p50, p99, max] = shared.in_force_ms;
+    Ok(vec![
+        ("in_force_ms_p50", p50),
+        ("in_force_ms_p99", p99),
+        ("in_force_ms_max", max),
+        ("change_cpu_us_watcher", shared.cpu_us),
+        ("change_bytes_watcher", shared.bytes),
+        ("change_watchers_core_share", shared.busy),
+        ("for_each_in_force_ms_max", for_each.in_force_ms[2]),
+        ("for_each_change_cpu_us_watcher", for_each.cpu_us),
+        ("for_each_change_watchers_core_share", for_each.busy),
+        ("change_failed_calls", f64::from(board.failed.get())),
+    ])
+}
+
 /// How late a tick of this thread comes, at the 99th percentile, and how long that was looked at.
 async fn rest(long: Duration) -> (Duration, Duration) {
     let (began, mut late) = (Instant::now(), Vec::new());
@@ -562,6 +582,8 @@
     /// For each watcher, with what it takes to take in the call that follows.
     cpu_us: f64,
     bytes: f64,
+    /// The part of the time until the last has it in which the watchers' thread was at work.
+    busy: f64,
 }
 
 async fn changes(
@@ -572,14 +594,18 @@
     rng: &mut Pcg32,
 ) -> Result<Changed, ScaleError> {
     let (mut took, mut cpu_us, mut bytes) = (Vec::new(), 0.0, 0.0);
+    let (mut at_work, mut passed) = (0.0, 0.0);
     for _ in 0..count {
         // At any point of a watch's wait.
         sleep(Duration::from_millis(200 + u64::from(rng.next_u32() % 400))).await;
         *version += 1;
         board.want(*version);
         let from = server.count().await?;
+        let own = cpu_us_now();
         let at = server.change().await?;
         until("a change", || board.reached.borrow().iter().all(Option::is_some)).await?;
+        at_work += cpu_us_now() - own;
+        passed += at.elapsed().as_secs_f64() * 1e6;
         sleep(TAKE_IN).await;
         let all = server.count().await?;
         cpu_us += all.cpu_us - from.cpu_us;
@@ -591,7 +617,7 @@
     took.sort_by(f64::total_cmp);
     let of = |part: f64| took[((took.len() as f64 * part).ceil() as usize).saturating_sub(1)];
     let (in_force_ms, told) = ([0.5, 0.99, 1.0].map(of), took.len() as f64);
-    Ok(Changed { in_force_ms, cpu_us: cpu_us / told, bytes: bytes / told })
+    Ok(Changed { in_force_ms, cpu_us: cpu_us / told, bytes: bytes / told, busy: at_work / passed })
 }
 
 /// What discovery's own process holds for each watcher that waits. The watchers are bare sockets here, which hold nothing.
@@ -652,8 +678,8 @@
         ("descriptors, soft limit (ulimit -n)", format!("{limit}, left as it is; each watcher takes two, both ends are in one process")),
         ("held", held),
         ("discovery", "hyper; answers encoded once and shared; for_each_*: looked up and encoded for each watcher".to_owned()),
-        ("change", format!("one endpoint that all watch, {} times for each form; CPU with the call that follows", PACE.changes)),
-        ("in_force", "from the change in discovery until the watcher's follower has it, with the time that the watchers' own one thread takes for the others".to_owned()),
+        ("change", format!("one endpoint that all watch, {} times for each form; CPU with the call that follows; not played with more than {CHANGES_UP_TO} watchers, as their own thread is then what a change waits for", PACE.changes)),
+        ("in_force", "from the change in discovery until the watcher's follower has it, with the time that the watchers' own one thread takes for the others (change_watchers_core_share: how busy that was)".to_owned()),
         ("reconnect", "all connections break at once; until each was answered again, after the pause that the decisions make".to_owned()),
         ("memory", "growth of VmRSS with bare sockets that wait, without the kernel's".to_owned()),
         ("at rest, s", PACE.rest.as_secs_f64().to_string()),
