Say what the size of the fleet costs each role, worked out from the runs

The operators want the design decided by 36,000 order servers, and a page whose figures rest on measured slopes. Figures written by hand drift from their runs.

`testbed scale page` works the tables out from docs/scale/rows.toml and the runs' JSON: sums of products of counts, slopes, places on a line and measured points, with their errors, the budget and the headroom; a row without its run says "not measured", one that names a figure which its run lacks is an error. No run is in yet, so all that is no arithmetic says "not measured".

--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -134,6 +134,15 @@
         /// The page.
         #[arg(long)]
         html: PathBuf,
+    /// Makes the tables of a page anew from a folder with rows.toml and the runs' JSON.
+    Page {
+        /// The folder.
+        dir: PathBuf,
+        /// The page.
+        page: PathBuf,
+        /// Leaves the page as it is. Ends with 1 where it is not as the runs say, and names the first such line.
+        #[arg(long)]
+        check: bool,
     },
     /// Lists the runs.
     List,
@@ -265,6 +274,18 @@
         ScaleCall::Report { dir, html } => {
             fs::write(&html, scale::report::page(&scale::read_all(&dir)?)?)?;
             Ok(ExitCode::SUCCESS)
+        ScaleCall::Page { dir, page, check } => {
+            let is = fs::read_to_string(&page).map_err(|error| format!("{}: {error}", page.display()))?;
+            let ought = scale::page::renewed(&dir, &page)?;
+            let difference = scale::page::first_difference(&is, &ought);
+            if !check {
+                fs::write(&page, ought)?;
+                return Ok(ExitCode::SUCCESS);
+            }
+            if let Some(scale::page::Difference { line, is, ought }) = &difference {
+                println!("{}:{line}: is    {is}\n{}:{line}: ought {ought}", page.display(), page.display());
+            }
+            Ok(ExitCode::from(u8::from(difference.is_some())))
         }
         ScaleCall::List => {
             scale::RUNS.iter().for_each(|known| println!("{:24} {}", known.name, known.about));
