--- a/testbed/src/scale/page/rows.rs
+++ b/testbed/src/scale/page/rows.rs
@@ -58,7 +58,7 @@
 #[serde(
     untagged,
     expecting = "a value, { per = VALUE }, { power = [VALUE, VALUE] }, or { run, figure } with one of slope = true, at, \
-                 point, reaches"
+                 point, most, reaches"
 )]
 pub enum Factor {
     /// Times it.
@@ -109,6 +109,8 @@
     At(Value),
     /// The mean of the seeds at this place, which has to be measured.
     Point(f64),
+    /// The greatest of the seeds there.
+    Most(f64),
     /// Where on the axis the line reaches this.
     Reaches(Value),
 }
@@ -123,6 +125,7 @@
     slope: bool,
     at: Option<Value>,
     point: Option<f64>,
+    most: Option<f64>,
     reaches: Option<Value>,
 }
 
@@ -130,13 +133,14 @@
     type Error = &'static str;
 
     fn try_from(written: Written) -> Result<Measured, Self::Error> {
-        let Written { run, figure, within, slope, at, point, reaches } = written;
-        let take = match (slope, at, point, reaches) {
-            (true, None, None, None) => Take::Slope,
-            (false, Some(at), None, None) => Take::At(at),
-            (false, None, Some(point), None) => Take::Point(point),
-            (false, None, None, Some(reaches)) => Take::Reaches(reaches),
-            _ => return Err("one of slope = true, at, point, reaches"),
+        let Written { run, figure, within, slope, at, point, most, reaches } = written;
+        let take = match (slope, at, point, most, reaches) {
+            (true, None, None, None, None) => Take::Slope,
+            (false, Some(at), None, None, None) => Take::At(at),
+            (false, None, Some(point), None, None) => Take::Point(point),
+            (false, None, None, Some(most), None) => Take::Most(most),
+            (false, None, None, None, Some(reaches)) => Take::Reaches(reaches),
+            _ => return Err("one of slope = true, at, point, most, reaches"),
         };
         Ok(Measured { run, figure, within, take })
     }
--- a/testbed/src/scale/page/tests.rs
+++ b/testbed/src/scale/page/tests.rs
@@ -46,12 +46,13 @@
             &format!("unit = \"MB\"\nbudget = 1\nsum = [[\"called\", {}], [1]]", memory("slope = true")),
         ),
         row("point", &format!("sum = [[{}]]", memory("point = 1000"))),
+        row("most", &format!("sum = [[{}]]", memory("most = 1000"))),
         row("reaches", &format!("unit = \"endpoints\"\nsum = [[{}]]", memory("reaches = 64"))),
         row("all", "unit = \"GB\"\nsum = [[36000, \"one\", { per = 1000 }]]"),
         row("chain", "budget = 10\nsum = [[{ power = [1.1, 21] }]]"),
     ];
     let made = made(&rows.concat()).expect("a table");
-    let [at, slope, point, reaches, all, chain] = made.as_slice() else { panic!("{made:?}") };
+    let [at, slope, point, most, reaches, all, chain] = made.as_slice() else { panic!("{made:?}") };
     // The line is exact on the mean, and what is left over is 0.1 at two of six points: its middle has an error of
     // sqrt(0.02 / 4 / 6), its slope one of sqrt(0.02 / 4 / 4,000,000).
     assert_eq!(at[1..4], ["(4 + 0.002 ± 0.000035 × 500 endpoints)", "5 ± 0.034 MB", "64 MB"]);
@@ -59,6 +60,7 @@
     assert_eq!(slope[1..3], ["500 endpoints × 0.002 ± 0.000035 + 1", "2 ± 0.018 MB"]);
     assert_eq!(slope[4], "**over**: 2 times the budget");
     assert_eq!(point[1..3], ["(6 ± 0.1 at 1,000)", "6 ± 0.1"]);
+    assert_eq!(most[1..3], ["(most 6.1 at 1,000)", "6.1"]);
     assert_eq!(reaches[1], "(64 - 4) ÷ 0.002 ± 0.000035");
     assert_eq!(reaches[2], "30,000 ± 513 endpoints");
     assert_eq!(reaches[5], "`size`, seeds 1, 2; `size` measured to 2,000");
--- a/testbed/src/scale/page/working.rs
+++ b/testbed/src/scale/page/working.rs
@@ -164,7 +164,7 @@
         let Measured { run, figure, within, take } = measured;
         let other = match take {
             Take::At(value) | Take::Reaches(value) => self.value(value)?,
-            Take::Slope | Take::Point(_) => Worked::default(),
+            Take::Slope | Take::Point(_) | Take::Most(_) => Worked::default(),
         };
         let mut worked = Worked::default();
         worked.rests_on(&other);
@@ -174,6 +174,7 @@
                 Take::Slope => "slope".to_owned(),
                 Take::At(_) => format!("at {}", other.text),
                 Take::Point(x) => format!("at {}", written(*x)),
+                Take::Most(x) => format!("the most at {}", written(*x)),
                 Take::Reaches(_) => format!("reaches {}", other.text),
             };
             worked.text = format!("(`{figure}`, {place})");
@@ -186,11 +187,16 @@
         if known.is_empty() {
             return Err(format!("{run} has no figure {figure}"));
         }
-        if let Take::Point(x) = take {
+        if let Take::Point(x) | Take::Most(x) = take {
             known.retain(|point| point.0 == *x);
             let number = mean(&known).ok_or_else(|| format!("{run} was not measured at {x}"))?;
+            let most = known.iter().map(|point| point.1).fold(f64::NEG_INFINITY, f64::max);
+            let (number, of) = match take {
+                Take::Most(_) => (Number::exact(most), "most "),
+                _ => (number, ""),
+            };
             worked.number = Some(number);
-            worked.text = format!("({number} at {})", written(*x));
+            worked.text = format!("({of}{number} at {})", written(*x));
             return Ok(worked);
         }
         if let Some([from, to]) = within {
@@ -218,7 +224,7 @@
             (Take::At(_) | Take::Reaches(_), None) => {
                 worked.text = format!("({start} + {slope} × {})", other.text)
             }
-            (Take::Slope | Take::Point(_), _) => {
+            (Take::Slope | Take::Point(_) | Take::Most(_), _) => {
                 worked.number = Some(slope);
                 worked.text = slope.to_string();
             }
