--- a/testbed/src/scale/page/working.rs
+++ b/testbed/src/scale/page/working.rs
@@ -69,15 +69,12 @@
         Number { is: self.fit.slope, error: self.fit.slope_error }
     }
 
+    /// A note where the line goes further than the points that it was drawn through.
     fn beyond(&self, run: &str, x: f64) -> Option<String> {
-        let place = if x > self.to {
-            self.to
-        } else if x < self.from {
-            self.from
-        } else {
-            return None;
-        };
-        Some(format!("`{run}` measured {} {}", if x > self.to { "to" } else { "from" }, written(place)))
+        let within = (self.from..=self.to).contains(&x);
+        (!within).then(|| {
+            format!("beyond its line from {} to {} in `{run}`", written(self.from), written(self.to))
+        })
     }
 }
 
