Hold the errors of the capacity page's arithmetic by a test

Need: with the error of a power taken out by hand all tests passed. Result: the test fails with the error taken out, and passes with it.

--- a/testbed/src/scale/page.rs
+++ b/testbed/src/scale/page.rs
@@ -217,7 +217,7 @@
             return Err(format!("line {at}: the table {name} stands here for a second time"));
         }
         let end = lines.by_ref().find(|(_, line)| *line == END || line.starts_with(BEGIN));
-        if !end.is_some_and(|(_, line)| line == END) {
+        if end.is_none_or(|(_, line)| line != END) {
             return Err(format!("line {at}: the table {name} has no {END}"));
         }
         text.push_str(&format!("\n{table}\n{END}\n"));
--- a/testbed/src/scale/page/tests.rs
+++ b/testbed/src/scale/page/tests.rs
@@ -70,6 +70,20 @@
     assert_eq!(chain[4..6], ["1.35 times", "arithmetic"]);
 }
 
+/// Guards against errors that get lost on the way, and against numbers that read as others.
+#[test]
+fn errors_follow_their_numbers_and_digits_their_size() {
+    let (two, three) = (Number { is: 2.0, error: 0.4 }, Number { is: 3.0, error: 0.3 });
+    let close =
+        |of: Number, is: f64, error: f64| (of.is - is).abs() < 1e-12 && (of.error - error).abs() < 1e-12;
+    assert!(close(two + three, 5.0, 0.5), "{}", two + three);
+    assert!(close(two * three, 6.0, (1.2f64.powi(2) + 0.6f64.powi(2)).sqrt()), "{}", two * three);
+    assert!(close(three / two, 1.5, (0.15f64.powi(2) + 0.3f64.powi(2)).sqrt()), "{}", three / two);
+    assert!(close(two.power(3.0), 8.0, 4.8), "{}", two.power(3.0));
+    let written = [0.0, -0.00123456, 12.345, 1_234.5, -1_234_567.0, 0.5].map(super::written);
+    assert_eq!(written, ["0", "-0.00123", "12.3", "1,234", "-1,234,567", "0.5"]);
+}
+
 /// Guards against a claim without its run, and against a budget that the error does not tell from what was measured.
 #[test]
 fn what_was_not_measured_says_so_and_so_does_all_that_rests_on_it() {
