--- a/testbed/src/scale/page/number.rs
+++ b/testbed/src/scale/page/number.rs
@@ -3,6 +3,9 @@
 use std::fmt;
 use std::ops::{Add, Div, Mul};
 
+/// An error below this part of its number is not shown.
+const UNSEEN: f64 = 1e-4;
+
 /// What was worked out, and its standard error. Errors of different figures are taken as independent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Number {
@@ -52,7 +55,8 @@
 impl fmt::Display for Number {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&written(self.is))?;
-        if self.error > 0.0 { write!(f, " ± {}", digits(self.error, 2)) } else { Ok(()) }
+        // Less than what is written of the number itself.
+        if self.error > UNSEEN * self.is.abs() { write!(f, " ± {}", digits(self.error, 2)) } else { Ok(()) }
     }
 }
 
--- a/testbed/src/scale/page/tests.rs
+++ b/testbed/src/scale/page/tests.rs
@@ -80,6 +80,8 @@
     assert!(close(two * three, 6.0, (1.2f64.powi(2) + 0.6f64.powi(2)).sqrt()), "{}", two * three);
     assert!(close(three / two, 1.5, (0.15f64.powi(2) + 0.3f64.powi(2)).sqrt()), "{}", three / two);
     assert!(close(two.power(3.0), 8.0, 4.8), "{}", two.power(3.0));
+    assert_eq!(Number { is: 0.667, error: 1e-5 }.to_string(), "0.667");
+    assert_eq!(Number { is: 0.0, error: 1e-5 }.to_string(), "0 ± 0.00001");
     let written = [0.0, -0.00123456, 12.345, 1_234.5, -1_234_567.0, 0.5].map(super::written);
     assert_eq!(written, ["0", "-0.00123", "12.3", "1,234", "-1,234,567", "0.5"]);
 }
