--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -134,6 +134,7 @@
         /// The page.
         #[arg(long)]
         html: PathBuf,
+    },
     /// Makes the tables of a page anew from a folder with rows.toml and the runs' JSON.
     Page {
         /// The folder.
@@ -274,6 +275,7 @@
         ScaleCall::Report { dir, html } => {
             fs::write(&html, scale::report::page(&scale::read_all(&dir)?)?)?;
             Ok(ExitCode::SUCCESS)
+        }
         ScaleCall::Page { dir, page, check } => {
             let is = fs::read_to_string(&page).map_err(|error| format!("{}: {error}", page.display()))?;
             let ought = scale::page::renewed(&dir, &page)?;
--- a/testbed/src/scale.rs
+++ b/testbed/src/scale.rs
@@ -5,12 +5,12 @@
 pub mod fit;
 pub mod hollow;
 pub mod law;
+pub mod page;
 pub mod real;
 pub mod report;
 pub mod timeline;
 pub mod virtual_fleet;
 pub mod watchers;
-pub mod page;
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -90,50 +90,50 @@
 
 /// All runs.
 pub const RUNS: &[Known] = &[
-Known {
+    Known {
         name: "client-endpoints",
         about: "a client proxy by the length of its list",
         make: real::client_endpoints,
     },
-Known { name: "client-changes", about: "a client proxy by changes a second", make: real::client_changes },
-Known {
+    Known { name: "client-changes", about: "a client proxy by changes a second", make: real::client_changes },
+    Known {
         name: "client-burst",
         about: "a client proxy by endpoints that change at once",
         make: real::client_burst,
     },
-Known { name: "client-latency", about: "what a client proxy adds to a call", make: real::client_latency },
-Known {
+    Known { name: "client-latency", about: "what a client proxy adds to a call", make: real::client_latency },
+    Known {
         name: "services",
         about: "What a client proxy has to hold in the supposed fleet.",
         make: law::make,
     },
-Known { name: "hollow-endpoints", about: "Hollow client proxies by endpoints held.", make: hollow::make },
-Known {
+    Known { name: "hollow-endpoints", about: "Hollow client proxies by endpoints held.", make: hollow::make },
+    Known {
         name: "discovery-watchers",
         about: "Discovery by watchers, each told what it calls.",
         make: watchers::scoped,
     },
-Known {
+    Known {
         name: "discovery-watchers-whole",
         about: "The same, each told of the whole fleet.",
         make: watchers::whole,
     },
-Known {
+    Known {
         name: "fleet-virtual-50us",
         about: "A fleet in virtual time, 50 us a call.",
         make: virtual_fleet::lean,
     },
-Known {
+    Known {
         name: "fleet-virtual-1ms",
         about: "A fleet in virtual time, 1 ms a call.",
         make: virtual_fleet::slow,
     },
-Known {
+    Known {
         name: "fleet-virtual-50ms",
         about: "A fleet in virtual time, 50 ms a call.",
         make: virtual_fleet::as_reckoned,
     },
-Known { name: "retry-depth", about: "How repeats multiply over levels of calls.", make: depth::make },
+    Known { name: "retry-depth", about: "How repeats multiply over levels of calls.", make: depth::make },
 ];
 
 /// Makes one run.
--- a/testbed/src/scale/hollow.rs
+++ b/testbed/src/scale/hollow.rs
@@ -93,7 +93,7 @@
             ids: Rc::<Ids>::default(),
             listed: None,
         };
-        Ok(Hollow { balancer, follower: Follower::new(reader), looks, next_look: None })
+        Ok(Hollow { balancer, follower: Follower::new(reader, true), looks, next_look: None })
     }
 
     /// Begins, with what is known from before, if anything; a list that is handed over is built on, as no restart of the
