--- a/testbed/src/scale/hollow.rs
+++ b/testbed/src/scale/hollow.rs
@@ -96,8 +96,8 @@
         Ok(Hollow { balancer, follower: Follower::new(reader, true), looks, next_look: None })
     }
 
-    /// Begins, with what is known from before, if anything; a list that is handed over is built on, as no restart of the
-    /// program does where lists are asked for, so that it only asks for what is new.
+    /// Begins, with what is known from before, if anything. A list from before is built on, as the program does where lists
+    /// are asked for: it then only asks for what is new.
     pub fn start(&mut self, now: Millis, known: Option<List>, todo: &mut Vec<Todo>) {
         let entries = known.map(|list| self.follower.known(list, true)).unwrap_or_default();
         self.feed(now, Event::Hosts(HostNews::Persisted(entries)), todo);
