Give the client side of discovery a pace, and a choice among several sources

Change: the lengths of waits and calls become a Pace: of a client proxy with an agent or relay (DIRECT), of one whose calls queue (QUEUED), of a relay (RELAY); a constant holds two silent hops and the caller's own silence within 6 s.

--- a/discovery/src/follower.rs
+++ b/discovery/src/follower.rs
@@ -4,7 +4,7 @@
 use thiserror::Error;
 
 use crate::list::{Entries, List, Places, Reader};
-use crate::session::{Call, Session, Told, Verdict};
+use crate::session::{Call, Pace, Session, Told, Verdict};
 
 /// Why an answer that came whole is none.
 #[derive(Debug, Error)]
@@ -38,17 +38,17 @@
 
 /// Follows the list of one discovery. See the module's page.
 pub struct Follower<P> {
+    pace: Pace,
     session: Session,
-    queued: bool,
     reader: Reader<P>,
     /// Why entries of the last answer were left out.
     problems: Vec<String>,
 }
 
 impl<P: Places> Follower<P> {
-    /// Holds nothing yet. `queued` says that one discovery is asked by all, not an agent that has the list at hand.
-    pub fn new(reader: Reader<P>, queued: bool) -> Follower<P> {
-        Follower { session: Session::new(None, queued), queued, reader, problems: Vec::new() }
+    /// Holds nothing yet.
+    pub fn new(pace: Pace, reader: Reader<P>) -> Follower<P> {
+        Follower { pace, session: Session::new(pace, None), reader, problems: Vec::new() }
     }
 
     /// Reads entries and has the connections follow them.
@@ -63,7 +63,7 @@
 
     /// Takes in a list from before this process. Its version is built on only if `resumes`; else all is asked for.
     pub fn known(&mut self, list: List, resumes: bool) -> Vec<HostEntry> {
-        self.session = Session::new(Some(list.index).filter(|_| resumes), self.queued);
+        self.session = Session::new(self.pace, Some(list.index).filter(|_| resumes));
         let entries = self.read(list.endpoints);
         self.reader.follow(entries, true)
     }
@@ -81,7 +81,7 @@
 
     /// The whole list is wanted, whatever is held.
     pub fn forget_version(&mut self) {
-        self.session = Session::new(None, self.queued);
+        self.session = Session::new(self.pace, None);
     }
 
     /// Discovery has moved: what the new one knows beyond the list held is asked for at once.
--- a/discovery/src/lib.rs
+++ b/discovery/src/lib.rs
@@ -8,8 +8,10 @@
 mod ids;
 mod list;
 mod session;
+mod sources;
 
 pub use follower::{Answer, Follower, NotAList};
 pub use ids::Ids;
 pub use list::{Entries, List, Place, Places, Reader};
-pub use session::{Call, Session, Told, Verdict};
+pub use session::{Call, Pace, Session, Told, Verdict};
+pub use sources::{Next, SPREAD, Sources};
--- a/discovery/src/session.rs
+++ b/discovery/src/session.rs
@@ -8,18 +8,6 @@
 
 /// A change counts as told so long after discovery had it and could be reached, whatever call failed meanwhile.
 const FRESH_WITHIN: Duration = Duration::from_secs(6);
-/// How long a watch waits. Short: its silence shows when the wait is over, and going on with it costs discovery nothing.
-const WATCH_FOR: Duration = Duration::from_millis(1_500);
-/// How long its answer may take beyond that.
-const ANSWER_WITHIN: Duration = Duration::from_millis(500);
-/// A call that finds out what was missed has so long from its dial to the last byte of its answer.
-const RESYNC_WITHIN: Duration = Duration::from_millis(2_500);
-/// The same where a whole fleet asks one discovery: calls queue, and one that is given up is worked on in vain, so that
-/// the queue stays full. None was kept for longer than 3 s on the operators' days; what would be is refused at once.
-const QUEUED_WITHIN: Duration = Duration::from_millis(3_200);
-/// How long it waits there where nothing was missed: it begins the watch with that, which would else be one more call in
-/// the queue.
-const START_FOR: Duration = Duration::from_millis(100);
 /// Pauses after a call that failed, where calls cost nothing: the first, and the longest.
 const PAUSE: Duration = Duration::from_millis(50);
 const PAUSE_MOST: Duration = Duration::from_millis(500);
@@ -27,11 +15,64 @@
 /// `ASK_ANEW_MOST` there.
 const DECIDED_MOST: Duration = Duration::from_millis(800);
 
+/// How long calls wait, and how long they may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// How long a watch waits. Short: its silence shows when the wait is over, and going on with it costs discovery
+    /// nothing.
+    pub watch: Duration,
+    /// How long its answer may take beyond that.
+    pub answer: Duration,
+    /// How long a call that finds out what was missed waits where nothing was. Above zero it begins a watch, which would
+    /// else be one more call.
+    pub begin: Duration,
+    /// Such a call has so long from its dial to the last byte of its answer.
+    pub resync: Duration,
+    /// One for the whole list has so long.
+    pub whole: Duration,
+}
+
+impl Pace {
+    /// Of a client proxy whose agent, or relay, has the list at hand.
+    pub const DIRECT: Pace = Pace {
+        watch: Duration::from_millis(1_500),
+        answer: Duration::from_millis(500),
+        begin: Duration::ZERO,
+        resync: Duration::from_millis(2_500),
+        whole: Duration::from_millis(2_500),
+    };
+    /// Of one that asks the same discovery as its whole fleet: calls queue, and one that is given up is worked on in vain,
+    /// so that the queue stays full. None was kept for longer than 3 s on the operators' days; what would be is refused at
+    /// once.
+    pub const QUEUED: Pace = Pace {
+        begin: Duration::from_millis(100),
+        resync: Duration::from_millis(3_200),
+        whole: Duration::from_millis(3_200),
+        ..Pace::DIRECT
+    };
+    /// Of a relay, of which there are few: a hop that falls silent must leave its callers their own time. The whole list
+    /// of a large fleet takes longer than a change.
+    pub const RELAY: Pace = Pace {
+        watch: Duration::from_millis(500),
+        answer: Duration::from_millis(250),
+        begin: Duration::ZERO,
+        resync: Duration::from_millis(750),
+        whole: Duration::from_secs(10),
+    };
+
+    /// Until a watch that falls silent the moment it has begun is given up.
+    const fn silence(&self) -> u128 {
+        self.watch.as_millis() + self.answer.as_millis()
+    }
+}
+
 /// A watch that falls silent the moment it has begun, the longest pause and a call as slow as may be.
-const SILENCE: u128 =
-    WATCH_FOR.as_millis() + ANSWER_WITHIN.as_millis() + DECIDED_MOST.as_millis() + QUEUED_WITHIN.as_millis();
-const _: () =
-    assert!(SILENCE <= FRESH_WITHIN.as_millis() && PAUSE_MOST.as_millis() <= DECIDED_MOST.as_millis());
+const SILENCE: u128 = Pace::QUEUED.silence() + DECIDED_MOST.as_millis() + Pace::QUEUED.resync.as_millis();
+/// Two relays whose watches fall silent one after the other, each with the pause after it, and then the caller's own.
+const TWO_HOPS: u128 =
+    2 * (Pace::RELAY.silence() + PAUSE.as_millis()) + Pace::DIRECT.silence() + crate::SPREAD.as_millis();
+const _: () = assert!(SILENCE <= FRESH_WITHIN.as_millis() && TWO_HOPS <= FRESH_WITHIN.as_millis());
+const _: () = assert!(PAUSE_MOST.as_millis() <= DECIDED_MOST.as_millis());
 
 /// One call to discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,6 +130,7 @@
 /// See the module's page.
 #[derive(Debug)]
 pub struct Session {
+    pace: Pace,
     state: State,
     /// The version of the list held; `None` asks for the whole.
     held: Option<u64>,
@@ -96,29 +138,29 @@
     newest: Option<u64>,
     /// Whole lists older than that in a row.
     older: u32,
-    /// Calls wait for those of other client proxies.
-    queued: bool,
 }
 
 impl Session {
-    /// Nothing was asked yet; `known` is the version of what is held from before, if it is built on. `queued` says that one
-    /// discovery is asked by all, not an agent that has the list at hand.
-    pub fn new(known: Option<u64>, queued: bool) -> Session {
-        Session { state: State::Resyncing, held: known, newest: None, older: 0, queued }
+    /// Nothing was asked yet; `known` is the version of what is held from before, if it is built on.
+    pub fn new(pace: Pace, known: Option<u64>) -> Session {
+        Session { pace, state: State::Resyncing, held: known, newest: None, older: 0 }
     }
 
     /// The next call.
     pub fn call(&self) -> Call {
-        match self.state {
-            State::Watching => Call { after: self.held, wait: WATCH_FOR, within: WATCH_FOR + ANSWER_WITHIN },
-            _ if self.queued => {
-                let wait = self.held.map_or(Duration::ZERO, |_| START_FOR);
-                Call { after: self.held, wait, within: QUEUED_WITHIN }
-            }
-            _ => Call { after: self.held, wait: Duration::ZERO, within: RESYNC_WITHIN },
+        let Pace { watch, answer, begin, resync, whole } = self.pace;
+        match (self.state, self.held) {
+            (State::Watching, after) => Call { after, wait: watch, within: watch + answer },
+            (_, None) => Call { after: None, wait: Duration::ZERO, within: whole },
+            (_, after) => Call { after, wait: begin, within: resync },
         }
     }
 
+    /// What was answered is not acted upon after all: the whole list is asked for next.
+    pub fn doubt(&mut self) {
+        (self.state, self.held) = (State::Resyncing, None);
+    }
+
     /// Discovery has moved: what the new one knows beyond the list held is asked for at once.
     pub fn moved(&mut self) {
         self.state = State::Resyncing;
@@ -139,11 +181,15 @@
             follows && unreadable == 0
         };
         if !sound {
-            (self.state, self.held) = (State::Resyncing, None);
+            self.doubt();
             return Verdict::Doubtful;
         }
-        // The whole list is no watch; the call that begins one waits in the queue again.
-        let next = if self.queued && self.held.is_none() { State::Resyncing } else { State::Watching };
+        // The whole list is no watch; where a call has to begin one, that is the next.
+        let next = if !self.pace.begin.is_zero() && self.held.is_none() {
+            State::Resyncing
+        } else {
+            State::Watching
+        };
         (self.state, self.held, self.newest, self.older) = (next, Some(index), Some(index), 0);
         Verdict::Taken
     }
--- a/discovery/src/session/tests.rs
+++ b/discovery/src/session/tests.rs
@@ -5,8 +5,8 @@
 const CHANGE: Told = Told { index: 42, whole: false, read: 1, unreadable: 0 };
 
 fn watching() -> Session {
-    let mut session = Session::new(None, false);
-    assert_eq!(session.call(), Call { after: None, wait: Duration::ZERO, within: RESYNC_WITHIN });
+    let mut session = Session::new(Pace::DIRECT, None);
+    assert_eq!(session.call(), Call { after: None, wait: Duration::ZERO, within: Pace::DIRECT.resync });
     assert_eq!(session.answered(WHOLE), Verdict::Taken);
     session
 }
@@ -17,7 +17,7 @@
 fn a_watch_that_falls_silent_is_made_up_for_in_time() {
     let mut session = watching();
     let silent = session.call().within;
-    assert_eq!((session.call().after, session.call().wait), (Some(41), WATCH_FOR));
+    assert_eq!((session.call().after, session.call().wait), (Some(41), Pace::DIRECT.watch));
     let mut pauses = Vec::from_iter((0..8).map(|_| session.failed(false)));
     assert!(pauses.is_sorted() && pauses.pop() == Some(PAUSE_MOST), "{pauses:?}");
     let resync = session.call();
@@ -26,7 +26,7 @@
     // Discovery that comes back while a call to it hangs: that one, the pause and the next.
     assert!(resync.within + PAUSE_MOST + resync.within <= FRESH_WITHIN);
     assert_eq!(session.answered(EMPTY), Verdict::Taken);
-    assert_eq!(session.call().wait, WATCH_FOR);
+    assert_eq!(session.call().wait, Pace::DIRECT.watch);
 }
 
 /// Guards against an old answer that takes back a drain: it is not taken, and the whole list is asked for.
@@ -35,7 +35,7 @@
     let mut session = watching();
     let older = Told { index: 40, ..WHOLE };
     assert_eq!(session.answered(older), Verdict::Doubtful);
-    assert_eq!(session.call(), Call { after: None, wait: Duration::ZERO, within: RESYNC_WITHIN });
+    assert_eq!(session.call(), Call { after: None, wait: Duration::ZERO, within: Pace::DIRECT.resync });
     assert_eq!(session.answered(Told { index: 43, ..WHOLE }), Verdict::Taken);
     // One old answer was not the last word before either.
     assert_eq!(session.answered(older), Verdict::Doubtful);
@@ -78,16 +78,19 @@
 /// it still waits there; and against a list that is quietly old all the same.
 #[test]
 fn a_call_that_queues_begins_the_watch_and_is_waited_for() {
-    let mut session = Session::new(None, true);
-    assert_eq!(session.call(), Call { after: None, wait: Duration::ZERO, within: QUEUED_WITHIN });
+    let mut session = Session::new(Pace::QUEUED, None);
+    assert_eq!(session.call(), Call { after: None, wait: Duration::ZERO, within: Pace::QUEUED.resync });
     assert_eq!(session.answered(WHOLE), Verdict::Taken);
-    assert_eq!(session.call(), Call { after: Some(41), wait: START_FOR, within: QUEUED_WITHIN });
+    assert_eq!(
+        session.call(),
+        Call { after: Some(41), wait: Pace::QUEUED.begin, within: Pace::QUEUED.resync }
+    );
     assert_eq!(session.answered(EMPTY), Verdict::Taken);
     let silent = session.call();
-    assert_eq!((silent.after, silent.wait), (Some(41), WATCH_FOR));
+    assert_eq!((silent.after, silent.wait), (Some(41), Pace::DIRECT.watch));
     session.failed(false);
     let resync = session.call();
-    assert_eq!((resync.after, resync.wait), (Some(41), START_FOR));
+    assert_eq!((resync.after, resync.wait), (Some(41), Pace::QUEUED.begin));
     assert!(silent.within + DECIDED_MOST + resync.within <= FRESH_WITHIN);
 }
 
@@ -102,7 +105,7 @@
 #[test]
 fn a_fleet_that_begins_together_is_watching_soon() {
     const FLEET: usize = 32;
-    let mut sessions: Vec<Session> = (0..FLEET).map(|_| Session::new(Some(41), true)).collect();
+    let mut sessions: Vec<Session> = (0..FLEET).map(|_| Session::new(Pace::QUEUED, Some(41))).collect();
     // When the next step of each is due: a call, or the end of one that is out.
     let mut due: Vec<u64> = (0..FLEET as u64).map(|me| me * 31).collect();
     let mut out: Vec<Option<bool>> = vec![None; FLEET];
@@ -135,7 +138,7 @@
                 let told = Told { index: 41, whole: call.after.is_none(), ..EMPTY };
                 assert_eq!(sessions[me].answered(told), Verdict::Taken);
             } else {
-                let most = PAUSES[usize::from(sessions[me].call().wait != WATCH_FOR)];
+                let most = PAUSES[usize::from(sessions[me].call().wait != Pace::DIRECT.watch)];
                 sessions[me].failed(false);
                 chance = (chance + 618) % 1000;
                 due[me] += most * chance / 1000;
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use marblebay::{Discovery as Mode, HostNews};
-use milletspoke_discovery::{Answer, Follower, NotAList, Reader};
+use milletspoke_discovery::{Answer, Follower, NotAList, Pace, Reader};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use serde_json::{Value, json};
@@ -89,13 +89,11 @@
     ) -> Discovery {
         let listed = handover.as_ref().map(|_| RefCell::default());
         let Names { zones, kinds, .. } = names;
+        let pace = if mode == Mode::Subscribe { Pace::QUEUED } else { Pace::DIRECT };
         Discovery {
             address,
             mode,
-            follower: Follower::new(
-                Reader { zones, kinds, hosts, ids: driver.ids(), listed },
-                mode == Mode::Subscribe,
-            ),
+            follower: Follower::new(pace, Reader { zones, kinds, hosts, ids: driver.ids(), listed }),
             driver,
             handover,
             rng: Pcg32::seed_from_u64(seed),
--- a/testbed/src/scale/hollow.rs
+++ b/testbed/src/scale/hollow.rs
@@ -9,7 +9,7 @@
 
 use marblebay::{Action, Balancer, Event, HostId, HostNews, Locality, Millis, Settings};
 use marblebay_benchlink::{WireSettings, read_settings};
-use milletspoke_discovery::{Answer, Call, Follower, Ids, List, NotAList, Place, Places, Reader};
+use milletspoke_discovery::{Answer, Call, Follower, Ids, List, NotAList, Pace, Place, Places, Reader};
 use rand_core::Rng;
 use rand_pcg::Pcg32;
 use rustix::time::{ClockId, clock_gettime};
@@ -93,7 +93,7 @@
             ids: Rc::<Ids>::default(),
             listed: None,
         };
-        Ok(Hollow { balancer, follower: Follower::new(reader, true), looks, next_look: None })
+        Ok(Hollow { balancer, follower: Follower::new(Pace::QUEUED, reader), looks, next_look: None })
     }
 
     /// Begins, with what is known from before, if anything. A list from before is built on, as the program does where lists
