Add relays: lists scoped to what is called, spread below discovery in its own protocol

Change: a program of its own, milletspoke-relay, off in run. One watch up; down, GET /v1/endpoints with after and wait_ms as discovery has them, the list named by HTTP's authority. Entries are kept as written, changes in a log with each name once, what a scope's watchers are told is encoded once; a change wakes the watchers of the scopes that hold its service. Versions are discovery's, so a caller moves with the one it holds; a relay that is behind waits 0.5 s and refuses. Out of touch for 1.5 s it refuses watches, still answers who has nothing, and says its Age. A whole list that takes out most counts when it is still said 0.5 s later. Connections, buffers, lists at once, names that are gone: bounded.

Seen to fail first: idle connections closed watches whose call was not read yet (now read before the next is taken in).

--- /dev/null
+++ b/relay/src/main.rs
@@ -0,0 +1,101 @@
+//! milletspoke-relay: stands between discovery and its callers. See docs/relays.md.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod catalog;
+mod config;
+mod downstream;
+mod pieces;
+mod upstream;
+mod writing;
+
+use std::cell::RefCell;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use clap::Parser;
+use milletspoke_discovery::Sources;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg32;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::catalog::{Catalog, Keep};
+use crate::config::Config;
+use crate::downstream::Downstream;
+use crate::upstream::Upstream;
+
+/// Names that are gone are told for so long to who was away, and so many a service.
+const KEEP: Keep = Keep { most: 4096, long: Duration::from_secs(600) };
+/// Who waits is sent on within a second; then this much is left for slow callers.
+const END_WITHIN: Duration = Duration::from_millis(2_500);
+
+/// Stands between discovery and its callers.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    /// The configuration, TOML.
+    #[arg(long)]
+    config: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let config = match Config::read(&Arguments::parse().config) {
+        Ok(config) => config,
+        Err(error) => {
+            eprintln!("relay: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let ended = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .and_then(|runtime| LocalSet::new().block_on(&runtime, run(config)));
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("relay: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(config: Config) -> std::io::Result<()> {
+    let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let listener = TcpListener::bind(config.listen).await?;
+    let bound = listener.local_addr()?;
+    let mut rng = Pcg32::seed_from_u64(seed(bound.port()));
+    let catalog = Rc::new(RefCell::new(Catalog::new(KEEP, config.scopes)));
+    let sources = Sources::new(&config.source.near, &config.source.far, &mut rng);
+    let sources = sources.ok_or_else(|| std::io::Error::other("source: names nobody to ask"))?;
+    let upstream = Upstream::new(Rc::clone(&catalog), sources, rng.clone());
+    let leaving = CancellationToken::new();
+    let confirmed = upstream.confirmed();
+    let downstream =
+        Downstream::new(catalog, confirmed, config.whole, config.connections, rng, leaving.clone());
+    spawn_local(upstream.run());
+    spawn_local(Rc::clone(&downstream).look_up());
+    let mut serving = spawn_local(downstream.serve(listener));
+    eprintln!("relay: listens on {bound}");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        ended = &mut serving => return ended.map_err(std::io::Error::other),
+    }
+    leaving.cancel();
+    if timeout(END_WITHIN, serving).await.is_err() {
+        eprintln!("relay: ends with callers that have not read their answers");
+    }
+    Ok(())
+}
+
+/// For pauses alone: relays that start together need not draw the same.
+fn seed(port: u16) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    now.as_nanos() as u64 ^ u64::from(std::process::id()) << 32 ^ u64::from(port) << 16
+}
--- /dev/null
+++ b/relay/src/upstream.rs
@@ -0,0 +1,201 @@
+//! One watch on the source: answers into the catalog, and how old what is held may be.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::{AGE, HOST, HeaderMap};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use milletspoke_discovery::{Next, Pace, Session, Sources, Told, Verdict};
+use rand_pcg::Pcg32;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::catalog::{Catalog, NotAList, Taken, Update};
+
+/// A part of each call's time: a dial that takes longer is to a source that cannot be reached.
+const DIAL_WITHIN: Duration = Duration::from_millis(250);
+/// Guards against a source that answers without end what does not wait.
+const BREATH: Duration = Duration::from_millis(20);
+/// A list that takes out most of what is held has to be true for so long.
+const DOUBT_FOR: Duration = Duration::from_millis(500);
+/// The whole list of the largest fleet is a tenth of this.
+const LIST_MOST: usize = 64 * 1024 * 1024;
+/// How often what has been gone for long is dropped.
+const FORGET_EVERY: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Error)]
+enum CallError {
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("status {0}")]
+    Status(StatusCode),
+    #[error("no whole answer: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("{0}")]
+    List(#[from] NotAList),
+    #[error("no answer in time")]
+    Silent(#[from] tokio::time::error::Elapsed),
+}
+
+type Link = SendRequest<Empty<Bytes>>;
+
+/// The relay's own call to its source. See the module's page.
+pub struct Upstream {
+    catalog: Rc<RefCell<Catalog>>,
+    sources: Sources,
+    session: Session,
+    rng: Pcg32,
+    /// When the source last had nothing newer than what is held; nothing before the first list.
+    confirmed: watch::Sender<Option<Instant>>,
+    began: Instant,
+    link: Option<Link>,
+    failing: bool,
+    forgot: Instant,
+}
+
+impl Upstream {
+    /// Nothing is asked before [`Upstream::run`].
+    pub fn new(catalog: Rc<RefCell<Catalog>>, sources: Sources, rng: Pcg32) -> Upstream {
+        let now = Instant::now();
+        Upstream {
+            catalog,
+            sources,
+            session: Session::new(Pace::RELAY, None),
+            rng,
+            confirmed: watch::Sender::new(None),
+            began: now,
+            link: None,
+            failing: false,
+            forgot: now,
+        }
+    }
+
+    /// When the source last had nothing newer than what is held; nothing before the first list.
+    pub fn confirmed(&self) -> watch::Receiver<Option<Instant>> {
+        self.confirmed.subscribe()
+    }
+
+    /// Follows the source for as long as the program runs.
+    pub async fn run(mut self) {
+        loop {
+            if let Err(error) = self.next().await {
+                let pause = self.failed(&error);
+                sleep(pause).await;
+            }
+            if self.forgot.elapsed() >= FORGET_EVERY {
+                self.forgot = Instant::now();
+                self.catalog.borrow_mut().forget(self.began.elapsed());
+            }
+        }
+    }
+
+    /// One call and what it tells.
+    async fn next(&mut self) -> Result<(), CallError> {
+        if self.sources.returns(self.began.elapsed(), &mut self.rng) {
+            self.link = None;
+        }
+        let call = self.session.call();
+        let asked = Instant::now();
+        // Guards against a dead or silent link: whatever fails, the next call begins with a new one.
+        let link = self.link.take();
+        let path = call.path();
+        let exchanged = exchange(link, self.sources.address(), &path);
+        let (link, age, body) = timeout(call.within, exchanged).await??;
+        let update = Update::read(&body)?;
+        let waited = !call.wait.is_zero();
+        let (index, whole, read, unreadable) =
+            (update.index, update.whole, update.readable(), update.unreadable);
+        self.link = Some(link);
+        self.sources.answered();
+        if self.session.answered(Told { index, whole, read, unreadable }) == Verdict::Doubtful {
+            eprintln!("relay: version {index} does not follow what is held: asking for all of it");
+            sleep(BREATH).await;
+            return Ok(());
+        }
+        let taken = self.catalog.borrow_mut().take(update, self.began.elapsed());
+        if taken == Taken::Doubted {
+            eprintln!(
+                "relay: version {index} would take out most of what is held: asking for all of it again"
+            );
+            self.session.doubt();
+            sleep(DOUBT_FOR).await;
+            return Ok(());
+        }
+        if self.failing || self.confirmed.borrow().is_none() {
+            self.failing = false;
+            let listed = self.catalog.borrow().listed();
+            eprintln!("relay: {} answers: version {index}, {listed} order servers", self.sources.address());
+        }
+        self.confirmed.send_replace(Instant::now().checked_sub(age));
+        if taken == Taken::Changed(0) && waited && asked.elapsed() < BREATH {
+            sleep(BREATH).await;
+        }
+        Ok(())
+    }
+
+    /// Says so once, however long it lasts; the pause before the next call.
+    fn failed(&mut self, error: &CallError) -> Duration {
+        if !self.failing {
+            self.failing = true;
+            eprintln!("relay: {}: {error}", self.sources.address());
+        }
+        let spoilt = matches!(error, CallError::Body(_) | CallError::List(_));
+        let pause = self.session.failed(spoilt);
+        match self.sources.failed(self.began.elapsed(), &mut self.rng) {
+            // Relays are few: they need not be spread as client proxies are.
+            Next::Elsewhere(spread) => spread.min(pause),
+            Next::NoneLeft => pause,
+        }
+    }
+}
+
+async fn exchange(
+    link: Option<Link>,
+    address: SocketAddr,
+    path: &str,
+) -> Result<(Link, Duration, Bytes), CallError> {
+    let kept = match link {
+        Some(mut link) => link.ready().await.is_ok().then_some(link),
+        None => None,
+    };
+    let mut link = match kept {
+        Some(link) => link,
+        None => dial(address).await?,
+    };
+    let mut request = Request::new(Empty::new());
+    *request.uri_mut() = path.parse().expect("digits in a fixed path are a path");
+    let host = address.to_string();
+    request.headers_mut().insert(HOST, host.parse().expect("an address is a header value"));
+    let (head, body) = link.send_request(request).await?.into_parts();
+    if head.status != StatusCode::OK {
+        return Err(CallError::Status(head.status));
+    }
+    let body = Limited::new(body, LIST_MOST).collect().await.map_err(CallError::Body)?.to_bytes();
+    Ok((link, age(&head.headers), body))
+}
+
+/// How old the answer was when it was written, at most: a source that is discovery itself says nothing of it.
+fn age(headers: &HeaderMap) -> Duration {
+    let seconds = headers.get(AGE).and_then(|age| age.to_str().ok()).and_then(|age| age.parse().ok());
+    Duration::from_secs(seconds.unwrap_or(0))
+}
+
+async fn dial(address: SocketAddr) -> Result<Link, CallError> {
+    let stream = timeout(DIAL_WITHIN, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let (link, connection) = Builder::new().handshake(TokioIo::new(stream)).await?;
+    // How it ends is seen by the call on it.
+    spawn_local(async move { drop(connection.await) });
+    Ok(link)
+}
