Let a client proxy ask relays where the second configuration file names them

Need: one address of discovery is one relay, and its loss the loss of the list.

Change: [discovery] in the file that $GW_FLEET names: near and far relays, and the authority whose list is asked for. A call that fails is made at the next relay from the version held; where all have failed in turn the decisions pause as ever.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use crate::parts::Parts;
+use crate::parts::{Parts, Relays};
 
 /// What a process may hold where the configuration does not say.
 const SOCKETS: usize = 1024;
@@ -66,6 +66,8 @@
     pub admin: Option<SocketAddr>,
     /// Where discovery is, or the agent that passes on its news.
     pub discovery: SocketAddr,
+    /// Relays that are asked in its place, if there are any.
+    pub relays: Option<Relays>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -138,6 +140,7 @@
         let parts = Parts::from_env()?;
         let mut config = Config::new(&text, given)?;
         parts.apply(&mut config.settings, &mut config.names);
+        config.relays = parts.relays().cloned();
         Ok(config)
     }
 
@@ -199,6 +202,7 @@
             listen: address(given.listen, file.listen, "listen")?,
             admin: admin.transpose()?,
             discovery: address(given.discovery, file.discovery, "discovery")?,
+            relays: None,
             seed,
             sockets,
             memory: (memory_mb * 1e6) as usize,
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -9,11 +9,11 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::header::HOST;
+use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use marblebay::{Discovery as Mode, HostNews};
-use milletspoke_discovery::{Answer, Follower, NotAList, Pace, Reader};
+use milletspoke_discovery::{Answer, Follower, Next, NotAList, Pace, Reader, Sources};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use serde_json::{Value, json};
@@ -27,6 +27,7 @@
 use crate::driver::{Ask, Driver};
 use crate::handover::Handover;
 use crate::hosts::Hosts;
+use crate::parts::Relays;
 
 /// A part of each call's time: a dial that takes longer is to a discovery that cannot be reached.
 const DIAL_WITHIN: Duration = Duration::from_millis(500);
@@ -61,10 +62,75 @@
     }
 }
 
+/// Whom the calls go to.
+pub struct Whom {
+    /// Where discovery is; another address after each reload that names one.
+    address: watch::Receiver<SocketAddr>,
+    /// In its place, if there are any.
+    relays: Option<(Sources, HeaderValue)>,
+    rng: Pcg32,
+    began: Instant,
+}
+
+impl Whom {
+    /// Discovery where `address` has it, or `relays`.
+    pub fn new(address: watch::Receiver<SocketAddr>, relays: Option<Relays>, seed: u64) -> Whom {
+        // Apart from the draws of the decisions and of discovery's own pauses.
+        let mut rng = Pcg32::seed_from_u64(!seed);
+        let relays = relays.and_then(|Relays { near, far, authority }| {
+            Some((Sources::new(&near, &far, &mut rng)?, HeaderValue::from_str(&authority).ok()?))
+        });
+        Whom { address, relays, rng, began: Instant::now() }
+    }
+
+    /// Whether the next call goes elsewhere than the last one; asked before each.
+    fn moved(&mut self) -> bool {
+        match &mut self.relays {
+            Some((sources, _)) => sources.returns(self.began.elapsed(), &mut self.rng),
+            None => self.address.has_changed().unwrap_or(false),
+        }
+    }
+
+    /// Where the next call goes, and whose list it asks for.
+    fn next(&mut self) -> (SocketAddr, HeaderValue) {
+        let address = *self.address.borrow_and_update();
+        match &self.relays {
+            Some((sources, authority)) => (sources.address(), authority.clone()),
+            None => {
+                let host = address.to_string().parse();
+                (address, host.expect("an address is a header value"))
+            }
+        }
+    }
+
+    /// Ready when discovery is said to be elsewhere; never, where relays are asked.
+    async fn moves(&mut self) {
+        if self.relays.is_some() || self.address.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        self.address.mark_changed();
+    }
+
+    /// The last call was answered.
+    fn answered(&mut self) {
+        if let Some((sources, _)) = &mut self.relays {
+            sources.answered();
+        }
+    }
+
+    /// The last call failed: after how long the same is to be asked of another relay, if one is left.
+    fn failed(&mut self) -> Option<Duration> {
+        let (sources, _) = self.relays.as_mut()?;
+        match sources.failed(self.began.elapsed(), &mut self.rng) {
+            Next::Elsewhere(pause) => Some(pause),
+            Next::NoneLeft => None,
+        }
+    }
+}
+
 /// Keeps the list of hosts as discovery tells it.
 pub struct Discovery {
-    /// Where it is; another address after each reload that names one.
-    address: watch::Receiver<SocketAddr>,
+    whom: Whom,
     mode: Mode,
     driver: Rc<Driver>,
     /// Where the list is handed on to the next process, if there is to be one.
@@ -79,7 +145,7 @@
 impl Discovery {
     /// Nothing is asked before [`Discovery::run`].
     pub fn new(
-        address: watch::Receiver<SocketAddr>,
+        whom: Whom,
         mode: Mode,
         names: Names,
         seed: u64,
@@ -89,9 +155,10 @@
     ) -> Discovery {
         let listed = handover.as_ref().map(|_| RefCell::default());
         let Names { zones, kinds, .. } = names;
-        let pace = if mode == Mode::Subscribe { Pace::QUEUED } else { Pace::DIRECT };
+        let queued = mode == Mode::Subscribe && whom.relays.is_none();
+        let pace = if queued { Pace::QUEUED } else { Pace::DIRECT };
         Discovery {
-            address,
+            whom,
             mode,
             follower: Follower::new(pace, Reader { zones, kinds, hosts, ids: driver.ids(), listed }),
             driver,
@@ -140,7 +207,7 @@
                 let ask = tokio::select! {
                     ask = asks.recv() => ask,
                     // A move ends the pause that the decisions make after a failure: that was of the old address.
-                    Ok(()) = self.address.changed() => Some(Ask::Watch),
+                    () = self.whom.moves() => Some(Ask::Watch),
                 };
                 let Some(ask) = ask else { return };
                 self.answer(ask).await;
@@ -153,6 +220,10 @@
         loop {
             if let Err(error) = self.next().await {
                 let pause = self.failed(&error);
+                if let Some(pause) = self.whom.failed() {
+                    sleep(pause).await;
+                    continue;
+                }
                 let jitter = 0.5 + 0.5 * f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
                 sleep(pause.mul_f64(jitter)).await;
             }
@@ -167,6 +238,11 @@
         loop {
             if let Err(error) = self.next().await {
                 self.failed(&error);
+                // All see a relay fail at once, so each goes on to another after a pause of its own.
+                if let Some(pause) = self.whom.failed() {
+                    sleep(pause).await;
+                    continue;
+                }
                 self.driver.hear(HostNews::Failed);
                 return;
             }
@@ -177,25 +253,26 @@
     async fn next(&mut self) -> Result<(), CallError> {
         let asked = Instant::now();
         let (link, body) = loop {
-            if self.address.has_changed().unwrap_or(false) {
+            if self.whom.moved() {
                 // A link to where discovery no longer is is of no more use.
                 self.link = None;
                 self.follower.moved();
             }
-            let address = *self.address.borrow_and_update();
+            let (address, host) = self.whom.next();
             let call = self.follower.call();
             let path = call.path();
             // Guards against a dead or silent link: whatever fails, the next call begins with a new one.
             let link = self.link.take();
             tokio::select! {
-                called = timeout(call.within, exchange(link, address, &path)) => break called??,
+                called = timeout(call.within, exchange(link, address, host, &path)) => break called??,
                 // Guards against waiting on where discovery no longer is: the same call is made at the new address.
-                Ok(()) = self.address.changed() => self.address.mark_changed(),
+                () = self.whom.moves() => {}
             }
         };
         let answer = self.follower.answered(&body);
         self.say_problems();
         let answer = answer?;
+        self.whom.answered();
         self.link = Some(link);
         if self.failing {
             self.failing = false;
@@ -253,7 +330,12 @@
 
 type Link = SendRequest<Empty<Bytes>>;
 
-async fn exchange(link: Option<Link>, address: SocketAddr, path: &str) -> Result<(Link, Bytes), CallError> {
+async fn exchange(
+    link: Option<Link>,
+    address: SocketAddr,
+    host: HeaderValue,
+    path: &str,
+) -> Result<(Link, Bytes), CallError> {
     let kept = match link {
         Some(mut link) => link.ready().await.is_ok().then_some(link),
         None => None,
@@ -264,8 +346,7 @@
     };
     let mut request = Request::new(Empty::new());
     *request.uri_mut() = path.parse().expect("digits in a fixed path are a path");
-    let host = address.to_string();
-    request.headers_mut().insert(HOST, host.parse().expect("an address is a header value"));
+    request.headers_mut().insert(HOST, host);
     let (head, body) = link.send_request(request).await?.into_parts();
     if head.status != StatusCode::OK {
         return Err(CallError::Status(head.status));
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -34,7 +34,7 @@
 use crate::admin::Admin;
 use crate::clients::Front;
 use crate::config::Config;
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, Whom};
 use crate::driver::Driver;
 use crate::handover::Handover;
 use crate::hosts::{Hosts, millis};
@@ -74,7 +74,8 @@
 }
 
 async fn run(config: Config, passed: Option<std::net::TcpListener>) -> std::io::Result<()> {
-    let Config { name, listen, admin, discovery, seed, sockets, memory, known, settings, names } = config;
+    let Config { name, listen, admin, discovery, relays, seed, sockets, memory, known, settings, names } =
+        config;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -94,7 +95,7 @@
         .map_err(|error| std::io::Error::other(error.to_string()))?;
     let moves = watch::Sender::new(discovery);
     let list = Discovery::new(
-        moves.subscribe(),
+        Whom::new(moves.subscribe(), relays, seed),
         settings.discovery,
         names.clone(),
         seed,
--- a/proxy/src/parts.rs
+++ b/proxy/src/parts.rs
@@ -2,8 +2,10 @@
 //! not know. A part whose table is absent is off; without the variable all are, and no file is read.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::{env, fs};
 
+use hyper::http::uri::Authority;
 use marblebay::{Locality, Settings};
 use serde::Deserialize;
 
@@ -15,6 +17,21 @@
 pub struct Parts {
     /// Which zones are near each other.
     zones: Option<Zones>,
+    /// Relays that stand between discovery and this client proxy.
+    discovery: Option<Relays>,
+}
+
+/// `[discovery]`: relays are asked in place of the address that the platform names. See docs/relays.md.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Relays {
+    /// Asked first, one after another.
+    pub near: Vec<SocketAddr>,
+    /// Asked where no near one answers.
+    #[serde(default)]
+    pub far: Vec<SocketAddr>,
+    /// Whose list is asked for: the authority of each call.
+    pub authority: String,
 }
 
 /// `[zones]`.
@@ -61,9 +78,22 @@
                 return Err(wrong("zones.own", "is not among zones.regions"));
             }
         }
+        if let Some(Relays { near, authority, .. }) = &parts.discovery {
+            if near.is_empty() {
+                return Err(wrong("discovery.near", "names no relay"));
+            }
+            if authority.parse::<Authority>().is_err() {
+                return Err(wrong("discovery.authority", "is no authority"));
+            }
+        }
         Ok(parts)
     }
 
+    /// The relays to be asked; nothing where discovery itself is.
+    pub fn relays(&self) -> Option<&Relays> {
+        self.discovery.as_ref()
+    }
+
     /// Puts into the settings what the parts say of them. A zone that is not named here lies in no known region, and
     /// all whose names nobody knows are one more zone.
     pub fn apply(&self, settings: &mut Settings, names: &mut Names) {
@@ -100,6 +130,10 @@
             ("[zones]\nown = 3\nregions = { a = \"n\" }", "line 2"),
             ("[zones]\nown = \"b\"\nregions = { a = \"n\" }", "zones.own"),
             ("[zones]\nregions = {}", "zones.regions"),
+            ("[discovery]\nnear = []\nauthority = \"a\"", "discovery.near"),
+            ("[discovery]\nnear = [\"10.0.0.1:1\"]\nauthority = \"a b\"", "discovery.authority"),
+            ("[discovery]\nnear = [\"nowhere\"]\nauthority = \"a\"", "line 2"),
+            ("[discovery]\nnear = [\"10.0.0.1:1\"]", "line 1"),
         ] {
             let said = Parts::read("f.toml", text).expect_err(text).to_string();
             assert!(said.contains("f.toml") && said.contains(words), "{said}");
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -371,7 +371,7 @@
         .env_remove("GW_DISCOVERY")
         .env_remove("GW_ADMIN_ADDR")
         .env_remove("GW_INHERITED_FD")
-        .env_remove("GW_INHERITED_FD")
+        .env_remove("GW_FLEET")
         // What one test leaves there is nothing to another.
         .env_remove("TMPDIR")
         .stderr(Stdio::piped());
@@ -420,6 +420,15 @@
         Proxy::listening(spawn(config))
     }
 
+    /// The same with a second configuration file.
+    pub fn start_with_parts(config: &Value, parts: &str) -> Proxy {
+        let dir = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let unique = format!("{}-{:?}.toml", std::process::id(), std::thread::current().id());
+        std::fs::write(dir.join(&unique), parts).expect("a file of the test's own");
+        let program = Command::new(env!("CARGO_BIN_EXE_martensill"));
+        Proxy::listening(spawn_by(program, config, |command| command.env("GW_FLEET", dir.join(&unique))))
+    }
+
     fn listening(mut child: Child) -> Proxy {
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
