--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -14,7 +14,6 @@
 mod link;
 mod run;
 mod saturate;
-#[allow(dead_code, reason = "fits are for the report of the runs, which is not there yet")]
 mod scale;
 mod scenario;
 mod servers;
