Measure relays by size, with watchers on real sockets

What a relay spends for a watcher, a change and a lost neighbour was reckoned, not measured. Seven runs (`relay-watchers`, `-unconcerned`, `-endpoints`, `-burst`, `-hops`, `-lost`, `-return`) put real relays between the lean stand-in of discovery and watchers on real sockets, whose calls, pauses and choice of the relay are the client proxy's own. The stand-in takes names of another form, the process' figures serve another program, and the relay is built beside the client proxy.

--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -320,18 +320,20 @@
     Ok(report)
 }
 
-/// The client proxy of this repository: beside the testbed, and built first where cargo has started the testbed.
+/// The client proxy of this repository: beside the testbed, as the relay is, and both built first where cargo has started
+/// the testbed.
 fn built() -> Result<PathBuf, Failed> {
     let own = std::env::current_exe()?;
     if let Some(cargo) = std::env::var_os("CARGO") {
         let release = own.parent().is_some_and(|dir| dir.ends_with("release"));
         let mut build = Command::new(cargo);
-        build.current_dir(env!("CARGO_MANIFEST_DIR")).args(["build", "--locked", "-p", "martensill"]);
+        build.current_dir(env!("CARGO_MANIFEST_DIR")).args(["build", "--locked"]);
+        build.args(["-p", "martensill", "-p", "milletspoke-relay"]);
         if release {
             build.arg("--release");
         }
         if !build.status()?.success() {
-            return Err("the client proxy is not built".into());
+            return Err("the client proxy and the relay are not built".into());
         }
     }
     let binary = own.with_file_name("martensill");
--- a/testbed/src/scale.rs
+++ b/testbed/src/scale.rs
@@ -7,6 +7,7 @@
 pub mod law;
 pub mod page;
 pub mod real;
+pub mod relay;
 pub mod report;
 pub mod timeline;
 pub mod virtual_fleet;
@@ -134,6 +135,17 @@
         make: virtual_fleet::as_reckoned,
     },
     Known { name: "retry-depth", about: "How repeats multiply over levels of calls.", make: depth::make },
+    Known { name: "relay-watchers", about: "a relay by its watchers", make: relay::by_watchers },
+    Known {
+        name: "relay-unconcerned",
+        about: "a relay by watchers whom no change concerns",
+        make: relay::by_unconcerned,
+    },
+    Known { name: "relay-endpoints", about: "a relay by the length of the list", make: relay::by_endpoints },
+    Known { name: "relay-burst", about: "a relay by endpoints that change at once", make: relay::burst },
+    Known { name: "relay-hops", about: "changes through one relay, and through two", make: relay::hops },
+    Known { name: "relay-lost", about: "the watchers of a relay that is lost", make: relay::lost },
+    Known { name: "relay-return", about: "a relay by watchers that come at once", make: relay::returning },
 ];
 
 /// Makes one run.
--- a/testbed/src/scale/real.rs
+++ b/testbed/src/scale/real.rs
@@ -3,11 +3,11 @@
 
 mod changes;
 mod endpoints;
-mod late;
+pub(super) mod late;
 mod latency;
-mod listing;
+pub(super) mod listing;
 mod load;
-mod process;
+pub(super) mod process;
 
 pub use changes::{client_burst, client_changes};
 pub use endpoints::client_endpoints;
@@ -29,7 +29,7 @@
 use crate::chance::{stream, unit};
 
 /// Nine zones in four regions.
-const ZONES: [(&str, &str); 9] = [
+pub(super) const ZONES: [(&str, &str); 9] = [
     ("noord-a", "noord"),
     ("noord-b", "noord"),
     ("noord-c", "noord"),
@@ -40,7 +40,7 @@
     ("west-a", "west"),
     ("west-b", "west"),
 ];
-const KINDS: [&str; 3] = ["m1", "m2", "m3"];
+pub(super) const KINDS: [&str; 3] = ["m1", "m2", "m3"];
 /// Where order servers listen, each at an address of its own.
 const PORT: u16 = 9000;
 /// From ready until anything is measured.
@@ -48,10 +48,10 @@
 /// How late the testbed's own threads may be, at the 99th percentile, for a run to count. Its timers go by steps of 1 ms.
 const LATE_MOST_MS: f64 = 10.0;
 
-type Figures = BTreeMap<String, f64>;
+pub(super) type Figures = BTreeMap<String, f64>;
 
 /// The address of a process: the machine by its number, and how many processes it had before.
-fn place(number: usize, process: usize, port: u16) -> SocketAddrV4 {
+pub(super) fn place(number: usize, process: usize, port: u16) -> SocketAddrV4 {
     let [_, _, high, low] = (number as u32).to_be_bytes();
     SocketAddrV4::new(Ipv4Addr::new(127, 1 + (process % 60) as u8, high, low), port)
 }
@@ -62,7 +62,7 @@
     SocketAddrV4::new(Ipv4Addr::new(127, 128, high, low), port)
 }
 
-fn now_ms() -> u64 {
+pub(super) fn now_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
@@ -126,12 +126,12 @@
 }
 
 /// Figures of a point, from names.
-fn figures<'a>(named: impl IntoIterator<Item = (&'a str, f64)>) -> Figures {
+pub(super) fn figures<'a>(named: impl IntoIterator<Item = (&'a str, f64)>) -> Figures {
     named.into_iter().map(|(name, figure)| (name.to_owned(), figure)).collect()
 }
 
 /// A run of points that are each made anew; void where the testbed was late at one of them.
-fn made(
+pub(super) fn made(
     name: &str,
     axis: &str,
     options: &Options,
--- a/testbed/src/scale/real/listing.rs
+++ b/testbed/src/scale/real/listing.rs
@@ -44,9 +44,13 @@
 }
 
 impl Endpoint {
-    fn json(&self) -> Value {
+    fn name(&self) -> String {
+        format!("s-{:08x}", self.number.wrapping_mul(0x9e37_79b9))
+    }
+
+    fn json(&self, name: &str) -> Value {
         json!({
-            "name": format!("s-{:08x}", self.number.wrapping_mul(0x9e37_79b9)), "address": self.address.to_string(),
+            "name": name, "address": self.address.to_string(),
             "zone": self.zone, "type": self.kind, "group": self.number % 12, "status": "SERVING", "weight": 1.0,
             "since_ms": self.since_ms,
         })
@@ -55,6 +59,7 @@
 
 struct Line {
     endpoint: Endpoint,
+    name: String,
     json: String,
     /// The version that it came with.
     version: u64,
@@ -136,7 +141,18 @@
     /// # Errors
     /// As the system says.
     pub fn open(endpoints: Vec<Endpoint>) -> io::Result<Listing> {
-        let line = |endpoint: Endpoint| Line { json: endpoint.json().to_string(), endpoint, version: 1 };
+        Listing::open_named(endpoints, Endpoint::name)
+    }
+
+    /// The same, with names of another form.
+    ///
+    /// # Errors
+    /// As the system says.
+    pub fn open_named(endpoints: Vec<Endpoint>, name: impl Fn(&Endpoint) -> String) -> io::Result<Listing> {
+        let line = |endpoint: Endpoint| {
+            let name = name(&endpoint);
+            Line { json: endpoint.json(&name).to_string(), endpoint, name, version: 1 }
+        };
         let lines = endpoints.into_iter().map(line).collect();
         let mut state = State { lines, version: 1, whole: None };
         state.whole();
@@ -165,7 +181,7 @@
         for &number in numbers {
             let Some(line) = state.lines.get_mut(number) else { continue };
             change(&mut line.endpoint);
-            (line.json, line.version) = (line.endpoint.json().to_string(), version);
+            (line.json, line.version) = (line.endpoint.json(&line.name).to_string(), version);
         }
         state.whole = None;
         drop(state);
--- a/testbed/src/scale/real/process.rs
+++ b/testbed/src/scale/real/process.rs
@@ -79,6 +79,16 @@
         Ok(process)
     }
 
+    /// One of another program, started and ready.
+    pub fn of(child: Child, address: SocketAddr) -> Process {
+        Process { child, address, ready: Instant::now() }
+    }
+
+    /// Its number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn is_ready(&self) -> bool {
         let asked = || -> io::Result<bool> {
             let mut stream = TcpStream::connect_timeout(&self.address, ANSWER_WITHIN)?;
--- /dev/null
+++ b/testbed/src/scale/relay/watchers.rs
@@ -0,0 +1,296 @@
+//! Many watchers of relays on real sockets: calls, pauses and the choice of the relay are the client proxy's own
+//! (`milletspoke_discovery`); of an answer only its version and the count of its entries are read.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use std::{io, mem};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use milletspoke_discovery::{Next, Pace, Session, Sources, Told, Verdict};
+use rand_pcg::Pcg32;
+use serde::Deserialize;
+use serde::de::IgnoredAny;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use tokio_util::io::{InspectReader, InspectWriter};
+use tokio_util::sync::CancellationToken;
+
+use super::super::real::late::Late;
+use crate::chance::{stream, unit};
+use crate::saturate::on_a_thread;
+
+/// As the client proxy has it.
+const DIAL_WITHIN: Duration = Duration::from_millis(500);
+/// Where all relays have failed: the decisions' longest pause after a watch that broke; by chance up to it.
+const PAUSE_MOST: Duration = Duration::from_millis(1_500);
+/// As the client proxy has it, after a doubtful answer.
+const BREATH: Duration = Duration::from_millis(50);
+
+/// One watcher.
+#[derive(Clone)]
+pub struct Plan {
+    /// The authority that it asks for.
+    pub scope: String,
+    /// Relays of its zone.
+    pub near: Vec<SocketAddr>,
+    /// Others.
+    pub far: Vec<SocketAddr>,
+    /// How long after the others' beginning its own is.
+    pub begins: Duration,
+}
+
+/// An answer that told something, or that came from another relay than the one before.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    /// Whose.
+    pub watcher: usize,
+    /// When it was read to its end.
+    pub at: Instant,
+    /// The version held from then on.
+    pub index: u64,
+    /// Something was told in it.
+    pub news: bool,
+    /// It was the whole list.
+    pub whole: bool,
+    /// Who answered.
+    pub relay: SocketAddr,
+}
+
+/// What went over one watcher's connections, heads included, and its calls.
+#[derive(Debug, Default)]
+struct Counters {
+    up: AtomicU64,
+    down: AtomicU64,
+    calls: AtomicU64,
+}
+
+/// The same, of all watchers together, and the calls that came to nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Totals {
+    /// Calls that were answered with a list.
+    pub calls: u64,
+    /// Bytes to relays.
+    pub up_bytes: u64,
+    /// Bytes from relays.
+    pub down_bytes: u64,
+    /// Calls that were refused (503).
+    pub refused: u64,
+    /// Calls that failed in any other way.
+    pub failed: u64,
+    /// Answers that were no sound news.
+    pub doubted: u64,
+}
+
+#[derive(Default)]
+struct Shared {
+    each: Vec<Arc<Counters>>,
+    answers: Mutex<Vec<Answer>>,
+    refused: AtomicU64,
+    failed: AtomicU64,
+    doubted: AtomicU64,
+}
+
+/// See the module's page. They end when this is dropped.
+pub struct Watchers {
+    shared: Arc<Shared>,
+    late: Vec<Late>,
+    ended: CancellationToken,
+    threads: Vec<JoinHandle<io::Result<()>>>,
+    /// When they began.
+    pub began: Instant,
+}
+
+impl Watchers {
+    /// Begins, on so many threads.
+    pub fn start(plans: &[Plan], threads: usize, seed: u64) -> Watchers {
+        let each = plans.iter().map(|_| Arc::default()).collect();
+        let shared = Arc::new(Shared { each, ..Shared::default() });
+        let (ended, began) = (CancellationToken::new(), Instant::now());
+        let late: Vec<Late> = (0..threads).map(|_| Late::default()).collect();
+        let run = |(thread, late): (usize, &Late)| {
+            let own: Vec<(usize, Plan)> =
+                plans.iter().cloned().enumerate().skip(thread).step_by(threads).collect();
+            let (shared, ended, late) = (Arc::clone(&shared), ended.clone(), late.clone());
+            on_a_thread(async move {
+                spawn_local(late.follow());
+                for (number, plan) in own {
+                    let rng = stream(seed, &format!("watcher {number}"));
+                    spawn_local(watch(number, plan, Arc::clone(&shared), rng, began));
+                }
+                ended.cancelled().await;
+                Ok(())
+            })
+        };
+        let threads = late.iter().enumerate().map(run).collect();
+        Watchers { shared, late, ended, threads, began }
+    }
+
+    /// Takes the answers since this was last asked, in the order of their arrival.
+    pub fn take(&self) -> Vec<Answer> {
+        mem::take(&mut *self.shared.answers.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Since the start.
+    pub fn totals(&self) -> Totals {
+        let sum = |of: fn(&Counters) -> &AtomicU64| {
+            self.shared.each.iter().map(|one| of(one).load(Ordering::Relaxed)).sum()
+        };
+        let Shared { refused, failed, doubted, .. } = &*self.shared;
+        Totals {
+            calls: sum(|one| &one.calls),
+            up_bytes: sum(|one| &one.up),
+            down_bytes: sum(|one| &one.down),
+            refused: refused.load(Ordering::Relaxed),
+            failed: failed.load(Ordering::Relaxed),
+            doubted: doubted.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Bytes that each has got since the start.
+    pub fn down_each(&self) -> Vec<u64> {
+        self.shared.each.iter().map(|one| one.down.load(Ordering::Relaxed)).collect()
+    }
+
+    /// Whether each has had an answer by now.
+    pub fn all_answered(&self) -> bool {
+        self.shared.each.iter().all(|one| one.calls.load(Ordering::Relaxed) > 0)
+    }
+
+    /// The latest of their threads at the 99th percentile since this was last asked, in milliseconds.
+    pub fn take_late_ms(&self) -> f64 {
+        self.late.iter().map(Late::take_ms).fold(0.0, f64::max)
+    }
+}
+
+impl Drop for Watchers {
+    fn drop(&mut self) {
+        self.ended.cancel();
+        for thread in self.threads.drain(..) {
+            // What it could have failed with, it would have failed with at its start.
+            let _ = thread.join();
+        }
+    }
+}
+
+type Link = SendRequest<Empty<Bytes>>;
+
+enum Failed {
+    Refused,
+    Broken,
+    Spoilt,
+}
+
+#[derive(Deserialize)]
+struct List {
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    endpoints: Vec<IgnoredAny>,
+}
+
+/// One watcher, for as long as its thread runs.
+async fn watch(number: usize, plan: Plan, shared: Arc<Shared>, mut rng: Pcg32, began: Instant) {
+    let Plan { scope, near, far, begins } = plan;
+    let Some(mut sources) = Sources::new(&near, &far, &mut rng) else { return };
+    let Ok(host) = HeaderValue::from_str(&scope) else { return };
+    sleep(begins).await;
+    let counters = Arc::clone(&shared.each[number]);
+    let (mut session, mut link, mut last) = (Session::new(Pace::DIRECT, None), None::<Link>, None);
+    loop {
+        if sources.returns(began.elapsed(), &mut rng) {
+            link = None;
+            session.moved();
+        }
+        let (call, relay) = (session.call(), sources.address());
+        let path = call.path();
+        let exchanged = exchange(link.take(), relay, &host, &path, &counters);
+        let answered = timeout(call.within, exchanged).await.unwrap_or(Err(Failed::Broken));
+        let read = answered.and_then(|(link, body)| {
+            let list = serde_json::from_slice::<List>(&body).map_err(|_| Failed::Spoilt)?;
+            Ok((link, list))
+        });
+        match read {
+            Ok((used, List { index, snapshot: whole, endpoints })) => {
+                link = Some(used);
+                sources.answered();
+                counters.calls.fetch_add(1, Ordering::Relaxed);
+                let told = Told { index, whole, read: endpoints.len(), unreadable: 0 };
+                if session.answered(told) == Verdict::Doubtful {
+                    shared.doubted.fetch_add(1, Ordering::Relaxed);
+                    sleep(BREATH).await;
+                    continue;
+                }
+                let news = whole || !endpoints.is_empty();
+                if news || last != Some(relay) {
+                    last = Some(relay);
+                    let answer = Answer { watcher: number, at: Instant::now(), index, news, whole, relay };
+                    shared.answers.lock().unwrap_or_else(PoisonError::into_inner).push(answer);
+                }
+            }
+            Err(failed) => {
+                let count = if matches!(failed, Failed::Refused) { &shared.refused } else { &shared.failed };
+                count.fetch_add(1, Ordering::Relaxed);
+                // How long to pause is for the relays' choice, or for the decisions.
+                let _ = session.failed(matches!(failed, Failed::Spoilt));
+                let pause = match sources.failed(began.elapsed(), &mut rng) {
+                    Next::Elsewhere(pause) => pause,
+                    Next::NoneLeft => PAUSE_MOST.mul_f64(unit(&mut rng)),
+                };
+                sleep(pause).await;
+            }
+        }
+    }
+}
+
+async fn exchange(
+    link: Option<Link>,
+    relay: SocketAddr,
+    host: &HeaderValue,
+    path: &str,
+    counters: &Arc<Counters>,
+) -> Result<(Link, Bytes), Failed> {
+    let kept = match link {
+        Some(mut link) => link.ready().await.is_ok().then_some(link),
+        None => None,
+    };
+    let mut link = match kept {
+        Some(link) => link,
+        None => dial(relay, counters).await.ok_or(Failed::Broken)?,
+    };
+    let mut request = Request::new(Empty::new());
+    *request.uri_mut() = path.parse().map_err(|_| Failed::Broken)?;
+    request.headers_mut().insert(HOST, host.clone());
+    let response = link.send_request(request).await.map_err(|_| Failed::Broken)?;
+    match response.status() {
+        StatusCode::OK => {}
+        StatusCode::SERVICE_UNAVAILABLE => return Err(Failed::Refused),
+        _ => return Err(Failed::Broken),
+    }
+    let body = response.into_body().collect().await.map_err(|_| Failed::Spoilt)?.to_bytes();
+    Ok((link, body))
+}
+
+async fn dial(relay: SocketAddr, counters: &Arc<Counters>) -> Option<Link> {
+    let stream = timeout(DIAL_WITHIN, TcpStream::connect(relay)).await.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (up, down) = (Arc::clone(counters), Arc::clone(counters));
+    let stream = InspectReader::new(stream, move |bytes: &[u8]| {
+        down.down.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+    });
+    let stream = InspectWriter::new(stream, move |bytes: &[u8]| {
+        up.up.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+    });
+    let (link, connection) = Builder::new().handshake(TokioIo::new(stream)).await.ok()?;
+    // How it ends is seen by the call on it.
+    spawn_local(async move { drop(connection.await) });
+    Some(link)
+}
