Let half a zone into a relay's accept queue while it is busy

Ruled out: the relay's bound on connections (4,096, 2,000 used), refusals (none).

Change: the socket is made here, with a queue of 4,096, as much as the system allows.

--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -10,6 +10,7 @@
 mod writing;
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -19,7 +20,7 @@
 use milletspoke_discovery::Sources;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::timeout;
@@ -32,6 +33,9 @@
 
 /// Names that are gone are told for so long to who was away, and so many a service.
 const KEEP: Keep = Keep { most: 4096, long: Duration::from_secs(600) };
+/// Callers that the system takes in before the relay does: all of another relay may come within half a second, while a
+/// change is being written. The system may allow fewer.
+const QUEUE: u32 = 4096;
 /// Who waits is sent on within a second; then this much is left for slow callers.
 const END_WITHIN: Duration = Duration::from_millis(2_500);
 
@@ -67,7 +71,7 @@
 
 async fn run(config: Config) -> std::io::Result<()> {
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    let listener = TcpListener::bind(config.listen).await?;
+    let listener = listen(config.listen)?;
     let bound = listener.local_addr()?;
     let mut rng = Pcg32::seed_from_u64(seed(bound.port()));
     let catalog = Rc::new(RefCell::new(Catalog::new(KEEP, config.scopes)));
@@ -94,6 +98,15 @@
     Ok(())
 }
 
+/// Takes callers in at that address.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // Guards against a restart that the remains of the last process's connections hold up.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(QUEUE)
+}
+
 /// For pauses alone: relays that start together need not draw the same.
 fn seed(port: u16) -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/relay/tests/callers.rs
+++ b/relay/tests/callers.rs
@@ -45,6 +45,28 @@
     }
 }
 
+/// Guards against callers that are not let in because many come while the relay is busy: half of a zone's, all at once, are
+/// taken in by the system at least, as far as it allows.
+#[tokio::test]
+async fn half_a_zone_is_let_in_while_the_relay_is_busy() {
+    let allowed = std::fs::read_to_string("/proc/sys/net/core/somaxconn").expect("a number");
+    let count = allowed.trim().parse::<usize>().expect("a number").min(2000);
+    let source = source_of(&many("shop", 3)).await;
+    let relay = Relay::start(&[source.address], "");
+    relay.has_a_list().await;
+    relay.signal("STOP");
+    let mut callers = Vec::new();
+    for n in 0..count {
+        // Hangs where the queue is full, so that the time limit of each is its verdict.
+        callers.push(
+            Caller::try_dial(relay.address).await.unwrap_or_else(|| panic!("caller {n} is not let in")),
+        );
+    }
+    relay.signal("CONT");
+    let last = callers.last_mut().expect("some");
+    assert_eq!(last.ask("shop", "/v1/endpoints").await.expect("an answer").list().2.len(), 3);
+}
+
 /// Guards against callers that ask and never read: their buffers are bounded, they are broken off, and others are served
 /// meanwhile.
 #[tokio::test]
