Make calls to discovery in one place, and give connections and whom to ask their own files

Need, by reading the whole change again: the socket half of a call (link, dial, request, whole body, what can go wrong) stood four times, in the client proxy, the relay and two kinds of watchers of the testbed; NotAList twice; the relay's downstream and writing needed each other (Turn); downstream.rs and discovery.rs had a second concern each.

Change: calls/ has the call, with its error; discovery/ stays without I/O. NotAList is discovery's. Turn is writing's. The relay's connections are callers.rs, whom a client proxy asks is discovery/whom.rs. A comment on a pause of the testbed says what it is beside the decisions' by now.

--- /dev/null
+++ b/calls/src/lib.rs
@@ -0,0 +1,122 @@
+//! A call to discovery, or to a relay, over a socket. Which call it is, and until when it has to be answered, is
+//! `milletspoke_discovery`'s.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use milletspoke_discovery::NotAList;
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// Why a call has no answer that can be used.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// It could not be reached, as the system says.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    /// The connection ended, or what came over it is no HTTP.
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    /// It refused.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// The answer broke off, or is too long.
+    #[error("no whole answer: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    /// The answer is none.
+    #[error("{0}")]
+    List(#[from] NotAList),
+    /// Nothing came in time.
+    #[error("no answer in time")]
+    Silent(#[from] tokio::time::error::Elapsed),
+}
+
+impl CallError {
+    /// An answer came, and it is no list.
+    pub fn is_spoilt(&self) -> bool {
+        matches!(self, CallError::Body(_) | CallError::List(_))
+    }
+}
+
+/// A connection that calls go over, one after another.
+pub type Link = SendRequest<Empty<Bytes>>;
+
+/// An answer that came whole.
+pub struct Answered {
+    /// For the next call.
+    pub link: Link,
+    /// What came before the body.
+    pub headers: HeaderMap,
+    /// A list, if it can be read as one.
+    pub body: Bytes,
+}
+
+/// What a call asks for: `host` is whose list is meant.
+///
+/// # Panics
+/// If `path` is no path; those of `milletspoke_discovery` are.
+pub fn asking(host: HeaderValue, path: &str) -> Request<Empty<Bytes>> {
+    let mut request = Request::new(Empty::new());
+    *request.uri_mut() = path.parse().expect("digits in a fixed path are a path");
+    request.headers_mut().insert(HOST, host);
+    request
+}
+
+/// Makes one call over `kept`, where that is still sound, or else over what `dial` gives. A body of more than `most`
+/// bytes is none.
+///
+/// # Errors
+/// Where it is not answered with 200 and a whole body. The link is of no more use then.
+pub async fn exchange(
+    kept: Option<Link>,
+    dial: impl Future<Output = Result<Link, CallError>>,
+    request: Request<Empty<Bytes>>,
+    most: usize,
+) -> Result<Answered, CallError> {
+    let kept = match kept {
+        Some(mut link) => link.ready().await.is_ok().then_some(link),
+        None => None,
+    };
+    let mut link = match kept {
+        Some(link) => link,
+        None => dial.await?,
+    };
+    let (head, body) = link.send_request(request).await?.into_parts();
+    if head.status != StatusCode::OK {
+        return Err(CallError::Status(head.status));
+    }
+    let body = Limited::new(body, most).collect().await.map_err(CallError::Body)?.to_bytes();
+    Ok(Answered { link, headers: head.headers, body })
+}
+
+/// A connection, made within this time. To be awaited where tasks may be local.
+///
+/// # Errors
+/// As the system says, or that it took too long.
+pub async fn dial(address: SocketAddr, within: Duration) -> Result<Link, CallError> {
+    let stream = timeout(within, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    handshake(stream).await
+}
+
+/// A link over a stream that is open.
+///
+/// # Errors
+/// Where the stream has ended.
+pub async fn handshake(stream: impl AsyncRead + AsyncWrite + Unpin + 'static) -> Result<Link, CallError> {
+    let (link, connection) = Builder::new().handshake(TokioIo::new(stream)).await?;
+    // How it ends is seen by the call on it.
+    spawn_local(async move { drop(connection.await) });
+    Ok(link)
+}
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -1,24 +1,18 @@
 //! Discovery: lists and watches, turned into news for the decisions and places for the connections. Which call comes
 //! next, until when it has to be answered and what the answer says is `milletspoke_discovery`'s; here are the sockets.
 
+mod whom;
+
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use marblebay::{Discovery as Mode, HostNews};
-use milletspoke_discovery::{Answer, Follower, Next, NotAList, Pace, Reader, Sources};
+use milletspoke_calls::{Answered, CallError, Link, asking, dial, exchange};
+use milletspoke_discovery::{Answer, Follower, Pace, Reader};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use serde_json::{Value, json};
-use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
@@ -27,7 +21,8 @@
 use crate::driver::{Ask, Driver};
 use crate::handover::Handover;
 use crate::hosts::Hosts;
-use crate::parts::Relays;
+
+pub use self::whom::Whom;
 
 /// A part of each call's time: a dial that takes longer is to a discovery that cannot be reached.
 const DIAL_WITHIN: Duration = Duration::from_millis(500);
@@ -39,95 +34,6 @@
 /// How long to wait for a first answer where hosts are known from before.
 const START_WITHIN: Duration = Duration::from_secs(1);
 
-#[derive(Debug, Error)]
-enum CallError {
-    #[error("{0}")]
-    Io(#[from] std::io::Error),
-    #[error("{0}")]
-    Http(#[from] hyper::Error),
-    #[error("status {0}")]
-    Status(StatusCode),
-    #[error("no whole answer: {0}")]
-    Body(Box<dyn std::error::Error + Send + Sync>),
-    #[error("{0}")]
-    List(#[from] NotAList),
-    #[error("no answer in time")]
-    Silent(#[from] tokio::time::error::Elapsed),
-}
-
-impl CallError {
-    /// An answer came, and it is no list.
-    fn is_spoilt(&self) -> bool {
-        matches!(self, CallError::Body(_) | CallError::List(_))
-    }
-}
-
-/// Whom the calls go to.
-pub struct Whom {
-    /// Where discovery is; another address after each reload that names one.
-    address: watch::Receiver<SocketAddr>,
-    /// In its place, if there are any.
-    relays: Option<(Sources, HeaderValue)>,
-    rng: Pcg32,
-    began: Instant,
-}
-
-impl Whom {
-    /// Discovery where `address` has it, or `relays`.
-    pub fn new(address: watch::Receiver<SocketAddr>, relays: Option<Relays>, seed: u64) -> Whom {
-        // Apart from the draws of the decisions and of discovery's own pauses.
-        let mut rng = Pcg32::seed_from_u64(!seed);
-        let relays = relays.and_then(|Relays { near, far, authority }| {
-            Some((Sources::new(&near, &far, &mut rng)?, HeaderValue::from_str(&authority).ok()?))
-        });
-        Whom { address, relays, rng, began: Instant::now() }
-    }
-
-    /// Whether the next call goes elsewhere than the last one; asked before each.
-    fn moved(&mut self) -> bool {
-        match &mut self.relays {
-            Some((sources, _)) => sources.returns(self.began.elapsed(), &mut self.rng),
-            None => self.address.has_changed().unwrap_or(false),
-        }
-    }
-
-    /// Where the next call goes, and whose list it asks for.
-    fn next(&mut self) -> (SocketAddr, HeaderValue) {
-        let address = *self.address.borrow_and_update();
-        match &self.relays {
-            Some((sources, authority)) => (sources.address(), authority.clone()),
-            None => {
-                let host = address.to_string().parse();
-                (address, host.expect("an address is a header value"))
-            }
-        }
-    }
-
-    /// Ready when discovery is said to be elsewhere; never, where relays are asked.
-    async fn moves(&mut self) {
-        if self.relays.is_some() || self.address.changed().await.is_err() {
-            std::future::pending::<()>().await;
-        }
-        self.address.mark_changed();
-    }
-
-    /// The last call was answered.
-    fn answered(&mut self) {
-        if let Some((sources, _)) = &mut self.relays {
-            sources.answered();
-        }
-    }
-
-    /// The last call failed: after how long the same is to be asked of another relay, if one is left.
-    fn failed(&mut self) -> Option<Duration> {
-        let (sources, _) = self.relays.as_mut()?;
-        match sources.failed(self.began.elapsed(), &mut self.rng) {
-            Next::Elsewhere(pause) => Some(pause),
-            Next::NoneLeft => None,
-        }
-    }
-}
-
 /// Keeps the list of hosts as discovery tells it.
 pub struct Discovery {
     whom: Whom,
@@ -155,7 +61,7 @@
     ) -> Discovery {
         let listed = handover.as_ref().map(|_| RefCell::default());
         let Names { zones, kinds, .. } = names;
-        let queued = mode == Mode::Subscribe && whom.relays.is_none();
+        let queued = mode == Mode::Subscribe && whom.is_shared();
         let pace = if queued { Pace::QUEUED } else { Pace::DIRECT };
         Discovery {
             whom,
@@ -252,7 +158,7 @@
     /// One call and what it tells.
     async fn next(&mut self) -> Result<(), CallError> {
         let asked = Instant::now();
-        let (link, body) = loop {
+        let Answered { link, body, .. } = loop {
             if self.whom.moved() {
                 // A link to where discovery no longer is is of no more use.
                 self.link = None;
@@ -260,11 +166,12 @@
             }
             let (address, host) = self.whom.next();
             let call = self.follower.call();
-            let path = call.path();
+            let request = asking(host, &call.path());
             // Guards against a dead or silent link: whatever fails, the next call begins with a new one.
             let link = self.link.take();
+            let dial = dial(address, DIAL_WITHIN);
             tokio::select! {
-                called = timeout(call.within, exchange(link, address, host, &path)) => break called??,
+                called = timeout(call.within, exchange(link, dial, request, LIST_MOST)) => break called??,
                 // Guards against waiting on where discovery no longer is: the same call is made at the new address.
                 () = self.whom.moves() => {}
             }
@@ -327,39 +234,3 @@
         self.follower.failed(error.is_spoilt())
     }
 }
-
-type Link = SendRequest<Empty<Bytes>>;
-
-async fn exchange(
-    link: Option<Link>,
-    address: SocketAddr,
-    host: HeaderValue,
-    path: &str,
-) -> Result<(Link, Bytes), CallError> {
-    let kept = match link {
-        Some(mut link) => link.ready().await.is_ok().then_some(link),
-        None => None,
-    };
-    let mut link = match kept {
-        Some(link) => link,
-        None => dial(address).await?,
-    };
-    let mut request = Request::new(Empty::new());
-    *request.uri_mut() = path.parse().expect("digits in a fixed path are a path");
-    request.headers_mut().insert(HOST, host);
-    let (head, body) = link.send_request(request).await?.into_parts();
-    if head.status != StatusCode::OK {
-        return Err(CallError::Status(head.status));
-    }
-    let body = Limited::new(body, LIST_MOST).collect().await.map_err(CallError::Body)?.to_bytes();
-    Ok((link, body))
-}
-
-async fn dial(address: SocketAddr) -> Result<Link, CallError> {
-    let stream = timeout(DIAL_WITHIN, TcpStream::connect(address)).await??;
-    stream.set_nodelay(true)?;
-    let (link, connection) = Builder::new().handshake(TokioIo::new(stream)).await?;
-    // How it ends is seen by the call on it.
-    spawn_local(async move { drop(connection.await) });
-    Ok(link)
-}
--- /dev/null
+++ b/relay/src/callers.rs
@@ -0,0 +1,84 @@
+//! The connections that a relay holds, and which of them makes room: the one that has rested for longest.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// The connections that are held.
+#[derive(Default)]
+pub struct Callers {
+    most: usize,
+    open: Cell<usize>,
+    next: Cell<u64>,
+    /// Those without a request, by since when.
+    resting: RefCell<BTreeMap<(Instant, u64), CancellationToken>>,
+}
+
+impl Callers {
+    /// None yet, and at most so many.
+    pub fn new(most: usize) -> Callers {
+        Callers { most, ..Callers::default() }
+    }
+
+    /// Whether one more is one too many.
+    pub fn is_full(&self) -> bool {
+        self.open.get() >= self.most
+    }
+
+    /// Whether none is held.
+    pub fn are_gone(&self) -> bool {
+        self.open.get() == 0
+    }
+
+    /// Closes the one that has rested for longest; whether there was one.
+    pub fn close_one(&self) -> bool {
+        let longest = self.resting.borrow_mut().pop_first();
+        longest.map(|(_, closed)| closed.cancel()).is_some()
+    }
+}
+
+/// One connection.
+pub struct Caller {
+    number: u64,
+    since: Cell<Instant>,
+    closed: CancellationToken,
+}
+
+impl Caller {
+    /// Held from now on, and at rest.
+    pub fn new(callers: &Callers) -> Caller {
+        callers.open.set(callers.open.get() + 1);
+        callers.next.set(callers.next.get() + 1);
+        let caller = Caller {
+            number: callers.next.get(),
+            since: Cell::new(Instant::now()),
+            closed: CancellationToken::new(),
+        };
+        caller.rests(callers);
+        caller
+    }
+
+    /// Has a request.
+    pub fn works(&self, callers: &Callers) {
+        callers.resting.borrow_mut().remove(&(self.since.get(), self.number));
+    }
+
+    /// Has none.
+    pub fn rests(&self, callers: &Callers) {
+        self.since.set(Instant::now());
+        callers.resting.borrow_mut().insert((self.since.get(), self.number), self.closed.clone());
+    }
+
+    /// Is no longer held.
+    pub fn gone(&self, callers: &Callers) {
+        self.works(callers);
+        callers.open.set(callers.open.get() - 1);
+    }
+
+    /// Ready when it has to make room.
+    pub async fn closed(&self) {
+        self.closed.cancelled().await;
+    }
+}
--- a/relay/src/catalog.rs
+++ b/relay/src/catalog.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use milletspoke_discovery::NotAList;
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::value::RawValue;
-use thiserror::Error;
 
 use self::log::Log;
 pub use self::scope::Scope;
@@ -24,17 +24,6 @@
 /// Fewer than this may go at once: small lists shrink by halves in ordinary service.
 const SHRINKS_LEAST: usize = 8;
 
-/// An answer of the source that came whole and is no list.
-#[derive(Debug, Error)]
-pub enum NotAList {
-    /// It is no JSON, or lacks what every list has.
-    #[error("not a list: {0}")]
-    Form(#[from] serde_json::Error),
-    /// It would say of every order server that it is gone.
-    #[error("a whole list without one entry that can be read")]
-    Entries,
-}
-
 /// What was read of an answer of the source.
 pub struct Update {
     /// The version that it brings the list to.
--- a/relay/src/downstream.rs
+++ b/relay/src/downstream.rs
@@ -1,7 +1,6 @@
 //! Callers: their connections, their calls, and what each is told.
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -17,11 +16,12 @@
 use rand_core::Rng;
 use rand_pcg::Pcg32;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::{Semaphore, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
+use crate::callers::{Caller, Callers};
 use crate::catalog::{Catalog, Reply, Scope, Told};
 use crate::pieces::Pieces;
 use crate::writing::{Patient, Watched};
@@ -78,7 +78,7 @@
             turns: Arc::new(Semaphore::new(LONG_AT_ONCE)),
             rng: RefCell::new(rng),
             leaving,
-            callers: Callers { most: connections, ..Callers::default() },
+            callers: Callers::new(connections),
         })
     }
 
@@ -125,7 +125,7 @@
             }
         }
         drop(listener);
-        while self.callers.open.get() > 0 {
+        while !self.callers.are_gone() {
             sleep(ACCEPT_PAUSE).await;
         }
     }
@@ -152,7 +152,7 @@
         // How it ends is the caller's doing; it asks again.
         tokio::select! {
             _ = connection.as_mut() => {}
-            () = caller.closed.cancelled() => {}
+            () = caller.closed() => {}
             () = self.leaving.cancelled() => {
                 connection.as_mut().graceful_shutdown();
                 let _ = connection.await;
@@ -325,63 +325,3 @@
         Ok(asked)
     }
 }
-
-/// The connections that are held.
-#[derive(Default)]
-struct Callers {
-    most: usize,
-    open: Cell<usize>,
-    next: Cell<u64>,
-    /// Those without a request, by since when.
-    resting: RefCell<BTreeMap<(Instant, u64), CancellationToken>>,
-}
-
-impl Callers {
-    fn is_full(&self) -> bool {
-        self.open.get() >= self.most
-    }
-
-    /// Closes the one that has rested for longest.
-    fn close_one(&self) -> bool {
-        let longest = self.resting.borrow_mut().pop_first();
-        longest.map(|(_, closed)| closed.cancel()).is_some()
-    }
-}
-
-/// One connection.
-struct Caller {
-    number: u64,
-    since: Cell<Instant>,
-    closed: CancellationToken,
-}
-
-impl Caller {
-    fn new(callers: &Callers) -> Caller {
-        callers.open.set(callers.open.get() + 1);
-        callers.next.set(callers.next.get() + 1);
-        let caller = Caller {
-            number: callers.next.get(),
-            since: Cell::new(Instant::now()),
-            closed: CancellationToken::new(),
-        };
-        caller.rests(callers);
-        caller
-    }
-
-    fn works(&self, callers: &Callers) {
-        callers.resting.borrow_mut().remove(&(self.since.get(), self.number));
-    }
-
-    fn rests(&self, callers: &Callers) {
-        self.since.set(Instant::now());
-        callers.resting.borrow_mut().insert((self.since.get(), self.number), self.closed.clone());
-    }
-
-    fn gone(&self, callers: &Callers) {
-        self.works(callers);
-        callers.open.set(callers.open.get() - 1);
-    }
-}
-
-/// A place among those whose long answers are being written.
-pub type Turn = OwnedSemaphorePermit;
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod callers;
 mod catalog;
 mod config;
 mod downstream;
--- a/relay/src/upstream.rs
+++ b/relay/src/upstream.rs
@@ -1,25 +1,17 @@
 //! One watch on the source: answers into the catalog, and how old what is held may be.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::header::{AGE, HOST, HeaderMap};
-use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper::header::{AGE, HeaderMap};
+use milletspoke_calls::{Answered, CallError, Link, asking, dial, exchange};
 use milletspoke_discovery::{Next, Pace, Session, Sources, Told, Verdict};
 use rand_pcg::Pcg32;
-use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::catalog::{Catalog, NotAList, Taken, Update};
+use crate::catalog::{Catalog, Taken, Update};
 
 /// A part of each call's time: a dial that takes longer is to a source that cannot be reached.
 const DIAL_WITHIN: Duration = Duration::from_millis(250);
@@ -32,24 +24,6 @@
 /// How often what has been gone for long is dropped.
 const FORGET_EVERY: Duration = Duration::from_secs(1);
 
-#[derive(Debug, Error)]
-enum CallError {
-    #[error("{0}")]
-    Io(#[from] std::io::Error),
-    #[error("{0}")]
-    Http(#[from] hyper::Error),
-    #[error("status {0}")]
-    Status(StatusCode),
-    #[error("no whole answer: {0}")]
-    Body(Box<dyn std::error::Error + Send + Sync>),
-    #[error("{0}")]
-    List(#[from] NotAList),
-    #[error("no answer in time")]
-    Silent(#[from] tokio::time::error::Elapsed),
-}
-
-type Link = SendRequest<Empty<Bytes>>;
-
 /// The relay's own call to its source. See the module's page.
 pub struct Upstream {
     catalog: Rc<RefCell<Catalog>>,
@@ -109,9 +83,11 @@
         let asked = Instant::now();
         // Guards against a dead or silent link: whatever fails, the next call begins with a new one.
         let link = self.link.take();
-        let path = call.path();
-        let exchanged = exchange(link, self.sources.address(), &path);
-        let (link, age, body) = timeout(call.within, exchanged).await??;
+        let address = self.sources.address();
+        let host = address.to_string().parse().expect("an address is a header value");
+        let request = asking(host, &call.path());
+        let exchanged = exchange(link, dial(address, DIAL_WITHIN), request, LIST_MOST);
+        let Answered { link, headers, body } = timeout(call.within, exchanged).await??;
         let update = Update::read(&body)?;
         let waited = !call.wait.is_zero();
         let (index, whole, read, unreadable) =
@@ -137,7 +113,7 @@
             let listed = self.catalog.borrow().listed();
             eprintln!("relay: {} answers: version {index}, {listed} order servers", self.sources.address());
         }
-        self.confirmed.send_replace(Instant::now().checked_sub(age));
+        self.confirmed.send_replace(Instant::now().checked_sub(age(&headers)));
         if taken == Taken::Changed(0) && waited && asked.elapsed() < BREATH {
             sleep(BREATH).await;
         }
@@ -150,8 +126,7 @@
             self.failing = true;
             eprintln!("relay: {}: {error}", self.sources.address());
         }
-        let spoilt = matches!(error, CallError::Body(_) | CallError::List(_));
-        let pause = self.session.failed(spoilt);
+        let pause = self.session.failed(error.is_spoilt());
         match self.sources.failed(self.began.elapsed(), &mut self.rng) {
             // Relays are few: they need not be spread as client proxies are.
             Next::Elsewhere(spread) => spread.min(pause),
@@ -160,42 +135,8 @@
     }
 }
 
-async fn exchange(
-    link: Option<Link>,
-    address: SocketAddr,
-    path: &str,
-) -> Result<(Link, Duration, Bytes), CallError> {
-    let kept = match link {
-        Some(mut link) => link.ready().await.is_ok().then_some(link),
-        None => None,
-    };
-    let mut link = match kept {
-        Some(link) => link,
-        None => dial(address).await?,
-    };
-    let mut request = Request::new(Empty::new());
-    *request.uri_mut() = path.parse().expect("digits in a fixed path are a path");
-    let host = address.to_string();
-    request.headers_mut().insert(HOST, host.parse().expect("an address is a header value"));
-    let (head, body) = link.send_request(request).await?.into_parts();
-    if head.status != StatusCode::OK {
-        return Err(CallError::Status(head.status));
-    }
-    let body = Limited::new(body, LIST_MOST).collect().await.map_err(CallError::Body)?.to_bytes();
-    Ok((link, age(&head.headers), body))
-}
-
 /// How old the answer was when it was written, at most: a source that is discovery itself says nothing of it.
 fn age(headers: &HeaderMap) -> Duration {
     let seconds = headers.get(AGE).and_then(|age| age.to_str().ok()).and_then(|age| age.parse().ok());
     Duration::from_secs(seconds.unwrap_or(0))
 }
-
-async fn dial(address: SocketAddr) -> Result<Link, CallError> {
-    let stream = timeout(DIAL_WITHIN, TcpStream::connect(address)).await??;
-    stream.set_nodelay(true)?;
-    let (link, connection) = Builder::new().handshake(TokioIo::new(stream)).await?;
-    // How it ends is seen by the call on it.
-    spawn_local(async move { drop(connection.await) });
-    Ok(link)
-}
--- a/relay/src/writing.rs
+++ b/relay/src/writing.rs
@@ -10,13 +10,15 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Sleep, sleep};
 
-use crate::downstream::Turn;
-
 /// A peer that takes none of what is written to it for so long has ended for us.
 const STALLED: Duration = Duration::from_secs(5);
 
+/// A place among those whose long answers are being written.
+pub type Turn = OwnedSemaphorePermit;
+
 /// What is being written on a connection.
 #[derive(Default)]
 pub struct Watched {
--- a/testbed/src/scale/relay/watchers.rs
+++ b/testbed/src/scale/relay/watchers.rs
@@ -8,13 +8,10 @@
 use std::time::{Duration, Instant};
 use std::{io, mem};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty};
-use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
-use milletspoke_discovery::{Next, Pace, Session, Sources, Told, Verdict};
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use milletspoke_calls::{Answered, CallError, Link, asking, exchange, handshake};
+use milletspoke_discovery::{Next, NotAList, Pace, Session, Sources, Told, Verdict};
 use rand_pcg::Pcg32;
 use serde::Deserialize;
 use serde::de::IgnoredAny;
@@ -30,7 +27,8 @@
 
 /// As the client proxy has it.
 const DIAL_WITHIN: Duration = Duration::from_millis(500);
-/// Where all relays have failed: the decisions' longest pause after a watch that broke; by chance up to it.
+const LIST_MOST: usize = 8 * 1024 * 1024;
+/// Where all relays have failed: by chance up to this, somewhat longer than the decisions pause after a watch that broke.
 const PAUSE_MOST: Duration = Duration::from_millis(1_500);
 /// As the client proxy has it, after a doubtful answer.
 const BREATH: Duration = Duration::from_millis(50);
@@ -181,14 +179,6 @@
     }
 }
 
-type Link = SendRequest<Empty<Bytes>>;
-
-enum Failed {
-    Refused,
-    Broken,
-    Spoilt,
-}
-
 #[derive(Deserialize)]
 struct List {
     index: u64,
@@ -211,11 +201,11 @@
             session.moved();
         }
         let (call, relay) = (session.call(), sources.address());
-        let path = call.path();
-        let exchanged = exchange(link.take(), relay, &host, &path, &counters);
-        let answered = timeout(call.within, exchanged).await.unwrap_or(Err(Failed::Broken));
-        let read = answered.and_then(|(link, body)| {
-            let list = serde_json::from_slice::<List>(&body).map_err(|_| Failed::Spoilt)?;
+        let request = asking(host.clone(), &call.path());
+        let exchanged = exchange(link.take(), dial(relay, &counters), request, LIST_MOST);
+        let answered = timeout(call.within, exchanged).await.unwrap_or_else(|late| Err(late.into()));
+        let read = answered.and_then(|Answered { link, body, .. }| {
+            let list = serde_json::from_slice::<List>(&body).map_err(NotAList::from)?;
             Ok((link, list))
         });
         match read {
@@ -237,10 +227,11 @@
                 }
             }
             Err(failed) => {
-                let count = if matches!(failed, Failed::Refused) { &shared.refused } else { &shared.failed };
+                let refused = matches!(failed, CallError::Status(StatusCode::SERVICE_UNAVAILABLE));
+                let count = if refused { &shared.refused } else { &shared.failed };
                 count.fetch_add(1, Ordering::Relaxed);
                 // How long to pause is for the relays' choice, or for the decisions.
-                let _ = session.failed(matches!(failed, Failed::Spoilt));
+                let _ = session.failed(failed.is_spoilt());
                 let pause = match sources.failed(began.elapsed(), &mut rng) {
                     Next::Elsewhere(pause) => pause,
                     Next::NoneLeft => PAUSE_MOST.mul_f64(unit(&mut rng)),
@@ -251,37 +242,9 @@
     }
 }
 
-async fn exchange(
-    link: Option<Link>,
-    relay: SocketAddr,
-    host: &HeaderValue,
-    path: &str,
-    counters: &Arc<Counters>,
-) -> Result<(Link, Bytes), Failed> {
-    let kept = match link {
-        Some(mut link) => link.ready().await.is_ok().then_some(link),
-        None => None,
-    };
-    let mut link = match kept {
-        Some(link) => link,
-        None => dial(relay, counters).await.ok_or(Failed::Broken)?,
-    };
-    let mut request = Request::new(Empty::new());
-    *request.uri_mut() = path.parse().map_err(|_| Failed::Broken)?;
-    request.headers_mut().insert(HOST, host.clone());
-    let response = link.send_request(request).await.map_err(|_| Failed::Broken)?;
-    match response.status() {
-        StatusCode::OK => {}
-        StatusCode::SERVICE_UNAVAILABLE => return Err(Failed::Refused),
-        _ => return Err(Failed::Broken),
-    }
-    let body = response.into_body().collect().await.map_err(|_| Failed::Spoilt)?.to_bytes();
-    Ok((link, body))
-}
-
-async fn dial(relay: SocketAddr, counters: &Arc<Counters>) -> Option<Link> {
-    let stream = timeout(DIAL_WITHIN, TcpStream::connect(relay)).await.ok()?.ok()?;
-    stream.set_nodelay(true).ok()?;
+async fn dial(relay: SocketAddr, counters: &Arc<Counters>) -> Result<Link, CallError> {
+    let stream = timeout(DIAL_WITHIN, TcpStream::connect(relay)).await??;
+    stream.set_nodelay(true)?;
     let (up, down) = (Arc::clone(counters), Arc::clone(counters));
     let stream = InspectReader::new(stream, move |bytes: &[u8]| {
         down.down.fetch_add(bytes.len() as u64, Ordering::Relaxed);
@@ -289,8 +252,5 @@
     let stream = InspectWriter::new(stream, move |bytes: &[u8]| {
         up.up.fetch_add(bytes.len() as u64, Ordering::Relaxed);
     });
-    let (link, connection) = Builder::new().handshake(TokioIo::new(stream)).await.ok()?;
-    // How it ends is seen by the call on it.
-    spawn_local(async move { drop(connection.await) });
-    Some(link)
+    handshake(stream).await
 }
--- a/testbed/src/scale/watchers.rs
+++ b/testbed/src/scale/watchers.rs
@@ -13,14 +13,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{Builder as Dialled, SendRequest};
-use hyper::header::HOST;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use milletspoke_calls::{Answered, asking, dial, exchange};
 use rand_core::Rng;
 use rand_pcg::Pcg32;
 use rustix::process::{Resource, getrlimit};
@@ -72,6 +72,7 @@
 /// A point does not count where the testbed's own tick was so late at rest, at the 99th percentile.
 const LATE_MOST: Duration = Duration::from_millis(50);
 /// As in the program.
+const LIST_MOST: usize = 8 * 1024 * 1024;
 const DIAL_WITHIN: Duration = Duration::from_millis(500);
 /// A pause where the system has no more descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -365,6 +366,7 @@
     board: Rc<Board>,
 ) {
     let (mut link, mut breaks) = (None, board.breaks.subscribe());
+    let host: HeaderValue = board.address.to_string().parse().expect("an address is a header value");
     while let Some(next) = todo.pop() {
         let asked = match next {
             Todo::Timer { at, token } => {
@@ -380,14 +382,18 @@
             }
         };
         let call = hollow.call();
-        let path = call.path();
+        let mut request = asking(host.clone(), &call.path());
+        if let Some(scope) = scope {
+            request.headers_mut().insert(SCOPE_HEADER, scope.into());
+        }
+        let exchanged = exchange(link.take(), dial(board.address, DIAL_WITHIN), request, LIST_MOST);
         let made = async {
             tokio::select! {
-                made = timeout(call.within, exchange(link.take(), board.address, &path, scope)) => made.ok()?,
+                made = timeout(call.within, exchanged) => made.ok()?.ok(),
                 _ = breaks.changed() => None,
             }
         };
-        let Some((kept, body)) = made.await else {
+        let Some(Answered { link: kept, body, .. }) = made.await else {
             board.failed.set(board.failed.get() + 1);
             hollow.failed(board.now(), false, &mut todo);
             continue;
@@ -406,39 +412,6 @@
     }
 }
 
-type Link = SendRequest<Empty<Bytes>>;
-
-/// As in the program; nothing where it fails.
-async fn exchange(
-    link: Option<Link>,
-    address: SocketAddr,
-    path: &str,
-    scope: Option<u32>,
-) -> Option<(Link, Bytes)> {
-    let kept = match link {
-        Some(mut link) => link.ready().await.is_ok().then_some(link),
-        None => None,
-    };
-    let mut link = match kept {
-        Some(link) => link,
-        None => {
-            let stream = timeout(DIAL_WITHIN, TcpStream::connect(address)).await.ok()?.ok()?;
-            stream.set_nodelay(true).ok()?;
-            let (link, connection) = Dialled::new().handshake(TokioIo::new(stream)).await.ok()?;
-            // How it ends is seen by the call on it.
-            spawn_local(async move { drop(connection.await) });
-            link
-        }
-    };
-    let mut request = Request::get(path).header(HOST, address.to_string());
-    if let Some(scope) = scope {
-        request = request.header(SCOPE_HEADER, scope);
-    }
-    let (head, body) = link.send_request(request.body(Empty::new()).ok()?).await.ok()?.into_parts();
-    let body = body.collect().await.ok()?.to_bytes();
-    (head.status == StatusCode::OK).then_some((link, body))
-}
-
 /// What discovery knows, and what its watchers are told of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Lists {
