Clear the folder of a play's processes away in one place

Need: making the folder for files of processes, and clearing it away, stood three times in the testbed's main.rs. Change: one function does both round the work. No behaviour changes.

--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -190,12 +190,18 @@
 
 /// Plays once, with a folder for the files of the processes.
 fn play_once(scenario: &Scenario, binary: &Path, seed: u64, progress: bool) -> Result<Report, Failed> {
+    let options = |dir: &Path| Options { binary: binary.to_owned(), seed, dir: dir.to_owned(), progress };
+    Ok(in_a_folder(|dir| play(scenario, &options(dir)))??)
+}
+
+/// Does this with a folder for the files of processes, and clears it away.
+fn in_a_folder<T>(work: impl FnOnce(&Path) -> T) -> std::io::Result<T> {
     let dir = std::env::temp_dir().join(format!("testbed-{}", std::process::id()));
     fs::create_dir_all(&dir)?;
-    let played = play(scenario, &Options { binary: binary.to_owned(), seed, dir: dir.clone(), progress });
+    let done = work(&dir);
     // Left behind at worst, in the folder for what may be left behind.
     let _ = fs::remove_dir_all(&dir);
-    Ok(played?)
+    Ok(done)
 }
 
 fn compare_versions(
@@ -242,12 +248,9 @@
 fn saturate_one(clients: usize, seconds: u64, binary: Option<PathBuf>) -> Result<ExitCode, Failed> {
     let scenario = read(Path::new("saturate"), 1)?;
     let binary = binary.map_or_else(built, Ok)?;
-    let dir = std::env::temp_dir().join(format!("testbed-{}", std::process::id()));
-    fs::create_dir_all(&dir)?;
-    let saturated = saturate(&scenario, &binary, &dir, clients, Duration::from_secs(seconds));
-    // Left behind at worst, in the folder for what may be left behind.
-    let _ = fs::remove_dir_all(&dir);
-    println!("{}", serde_json::to_string_pretty(&saturated?)?);
+    let lasts = Duration::from_secs(seconds);
+    let saturated = in_a_folder(|dir| saturate(&scenario, &binary, dir, clients, lasts))??;
+    println!("{}", serde_json::to_string_pretty(&saturated)?);
     Ok(ExitCode::SUCCESS)
 }
 
@@ -255,12 +258,8 @@
     match call {
         ScaleCall::Run { name, seed, json, binary } => {
             let binary = binary.map_or_else(built, Ok)?;
-            let dir = std::env::temp_dir().join(format!("testbed-{}", std::process::id()));
-            fs::create_dir_all(&dir)?;
-            let run = scale::run(&name, &scale::Options { binary, seed, dir: dir.clone() });
-            // Left behind at worst, in the folder for what may be left behind.
-            let _ = fs::remove_dir_all(&dir);
-            let run = run?;
+            let options = |dir: &Path| scale::Options { binary, seed, dir: dir.to_owned() };
+            let run = in_a_folder(|dir| scale::run(&name, &options(dir)))??;
             let text = serde_json::to_string_pretty(&run)? + "\n";
             match json {
                 Some(path) => fs::write(path, text)?,
