--- a/review/common.rs
+++ b/review/common.rs
@@ -405,6 +405,7 @@
     pub known: String,
     pub settings: String,
     pub folder: PathBuf,
+    pub seed: String,
     pub memory_mb: u32,
     pub sockets: u32,
     /// The clients' listening socket, if the platform holds it.
@@ -425,6 +426,7 @@
             known,
             settings,
             folder,
+            seed: "8c1f30d27a5be964".to_owned(),
             memory_mb: 192,
             sockets: 1024,
             inherited: None,
@@ -434,8 +436,8 @@
     pub fn write_config(&self) {
         let admin = self.admin.map_or(String::new(), |admin| format!("\"admin_addr\":\"{admin}\","));
         let text = format!(
-            "{{\"name\":\"{}\",\"listen\":\"{}\",\"discovery\":\"{}\",{admin}\"seed\":\"8c1f30d27a5be964\",\"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{},\"settings\":{}}}",
-            self.name, self.listen, self.discovery_in_file, self.memory_mb, self.sockets, self.known, self.settings
+            "{{\"name\":\"{}\",\"listen\":\"{}\",\"discovery\":\"{}\",{admin}\"seed\":\"{}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{},\"settings\":{}}}",
+            self.name, self.listen, self.discovery_in_file, self.seed, self.memory_mb, self.sockets, self.known, self.settings
         );
         let path = self.folder.join("config.json");
         std::fs::write(&path, text).unwrap_or_else(|error| cannot_run(&error.to_string()));
