End responses of unknown length that never end by 400 ms past the deadline

Cause: poll_stalled limited each wait for a chunk past the client's deadline, and record_forwarded began a new one with each chunk. Nothing limited the response as a whole. Ruled out: retries (one attempt each) and an unknown deadline. A Content-Length of up to 64 KiB is not affected: the body is read whole by the deadline.

Change: all waits past the deadline together have 400 ms (500 ms, 50 ms for a real network, less 150 ms of a stalled process).

--- a/client-proxy/src/endpoint_pool/response.rs
+++ b/client-proxy/src/endpoint_pool/response.rs
@@ -62,8 +62,8 @@
     /// The connection failed or the response is malformed.
     #[error("{0}")]
     Http(#[from] hyper::Error),
-    /// The endpoint stalled.
-    #[error("endpoint stalled: timed out waiting for the rest of the response")]
+    /// The endpoint stalled, or the response has no end in time.
+    #[error("timed out waiting for the end of the response")]
     Stalled,
 }
 
--- a/client-proxy/src/response_forwarding.rs
+++ b/client-proxy/src/response_forwarding.rs
@@ -18,6 +18,13 @@
 /// still be a short one. Three times the longest pause observed in the first 64 KiB from healthy endpoints,
 /// and within the 500 ms after which a request without an end counts as lost.
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a short response is waited for past the client's deadline, all its chunks together. Without an
+/// end 500 ms after the deadline, or 550 ms on a real network, the request counts as lost; 150 ms of that are
+/// left for a process that is stalled for a moment.
+const MAX_LATENESS: Duration = Duration::from_millis(400);
+/// A response of unknown length counts as a long one, whose end has no deadline, while at its rate past the
+/// client's deadline it exceeds `MAX_BUFFERED_BODY` within this time.
+const LONG_RESPONSE_TIME: Duration = Duration::from_secs(2);
 /// How often to check whether the first bytes of a response have been sent.
 const SENT_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -41,8 +48,7 @@
 
     /// Begins forwarding a response, whose length is given if known.
     pub fn start_forwarding(&self, length: Option<u64>) -> ResponseForwarder {
-        let deadline = self.request.deadline().map(|deadline| deadline + self.slack);
-        ResponseForwarder { deadline, length, forwarded: 0, waiting_since: None, timer: None }
+        ResponseForwarder::new(self.request.deadline().map(|deadline| deadline + self.slack), length)
     }
 }
 
@@ -52,31 +58,67 @@
     deadline: Option<Instant>,
     length: Option<u64>,
     forwarded: u64,
+    /// Part of `forwarded` that came before the deadline.
+    forwarded_in_time: u64,
     /// When waiting for the next chunk began.
     waiting_since: Option<Instant>,
+    /// Total time past the deadline that earlier chunks were waited for. Time in which the client accepts
+    /// nothing does not count.
+    waited_past_deadline: Duration,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl ResponseForwarder {
+    fn new(deadline: Option<Instant>, length: Option<u64>) -> ResponseForwarder {
+        ResponseForwarder {
+            deadline,
+            length,
+            forwarded: 0,
+            forwarded_in_time: 0,
+            waiting_since: None,
+            waited_past_deadline: Duration::ZERO,
+            timer: None,
+        }
+    }
+
     /// Records that more of the response was forwarded.
     pub fn record_forwarded(&mut self, bytes: usize) {
+        let now = Instant::now();
+        let waiting_since = self.waiting_since.take().unwrap_or(now);
         self.forwarded += bytes as u64;
-        self.waiting_since = None;
+        match self.deadline.filter(|deadline| *deadline < now) {
+            Some(deadline) => self.waited_past_deadline += now - waiting_since.max(deadline),
+            None => self.forwarded_in_time = self.forwarded,
+        }
     }
 
     /// Called while the next chunk is pending; ready once it is overdue.
     pub fn poll_stalled(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
-        let is_streamed = self.length.unwrap_or(self.forwarded) > MAX_BUFFERED_BODY as u64;
-        let due = match self.deadline.filter(|_| !is_streamed) {
+        let is_long = self.length.unwrap_or(self.forwarded) > MAX_BUFFERED_BODY as u64;
+        let stalled_at = waiting_since + STALL_TIMEOUT;
+        let due = match self.deadline.filter(|_| !is_long) {
             // A client of a short response would otherwise wait past its deadline for an endpoint that has
-            // stalled.
-            Some(deadline) => deadline.max(waiting_since + CHUNK_TIMEOUT).min(waiting_since + STALL_TIMEOUT),
-            None => waiting_since + STALL_TIMEOUT,
+            // stalled, or for one that goes on sending without an end.
+            Some(deadline) => {
+                let chunk_due = deadline.max(waiting_since + CHUNK_TIMEOUT);
+                chunk_due.min(self.response_due(deadline, waiting_since)).min(stalled_at)
+            }
+            None => stalled_at,
         };
         self.poll_timer(cx, due)
     }
 
+    /// When a response that is not known to be a long one has to have ended, if nothing more of it comes.
+    fn response_due(&self, deadline: Instant, waiting_since: Instant) -> Instant {
+        let missing = (MAX_BUFFERED_BODY as u64 + 1).saturating_sub(self.forwarded).max(1);
+        let received_late = self.forwarded - self.forwarded_in_time;
+        // With `received_late` bytes in this time, the missing ones come within `LONG_RESPONSE_TIME`.
+        let sufficient_rate = LONG_RESPONSE_TIME.mul_f64(received_late as f64 / missing as f64);
+        let allowed = MAX_LATENESS.max(sufficient_rate);
+        waiting_since.max(deadline) + allowed.saturating_sub(self.waited_past_deadline)
+    }
+
     /// Ready once part of a response that has failed was sent to the client, which `is_started` tells.
     ///
     /// An error closes the connection and discards what hyper has buffered but not sent. If that were all of
--- a/client-proxy/src/response_forwarding/tests.rs
+++ b/client-proxy/src/response_forwarding/tests.rs
@@ -14,8 +14,7 @@
     runtime.expect("could not build the runtime").block_on(async {
         let start = Instant::now();
         let deadline = deadline.map(|deadline| start + deadline);
-        let mut forwarder =
-            ResponseForwarder { deadline, length, forwarded: 0, waiting_since: None, timer: None };
+        let mut forwarder = ResponseForwarder::new(deadline, length);
         // A wait before the first bytes does not count against later ones.
         std::future::poll_fn(|cx| Poll::Ready(forwarder.poll_stalled(cx).is_pending())).await;
         tokio::time::advance(arrived_after).await;
@@ -43,3 +42,85 @@
     assert_eq!(ends_after(early, 3, None, None), early + STALL_TIMEOUT);
     assert_eq!(ends_after(early, 3, None, Some(2 * STALL_TIMEOUT)), early + STALL_TIMEOUT);
 }
+
+/// A request without an end this long after the client's deadline is lost: half a second, 50 ms for a real
+/// network, less 150 ms for which the process may be stalled.
+const LAST_END: Duration = Duration::from_millis(500 + 50 - 150);
+
+/// Pieces of a response: the first after `first_after`, then one in each `interval`.
+#[derive(Clone, Copy, Debug)]
+struct Pieces {
+    first_after: Duration,
+    bytes: usize,
+    interval: Duration,
+}
+
+impl Pieces {
+    const fn new(first_after_ms: u64, bytes: usize, interval_ms: u64) -> Pieces {
+        let (first_after, interval) =
+            (Duration::from_millis(first_after_ms), Duration::from_millis(interval_ms));
+        Pieces { first_after, bytes, interval }
+    }
+
+    /// Forwards pieces of a response of unknown length until it is ended, and returns after how long; `None`
+    /// if `most_bytes` have been forwarded before.
+    async fn forward(self, deadline: Option<Instant>, most_bytes: usize) -> Option<Duration> {
+        let (start, mut forwarder) = (Instant::now(), ResponseForwarder::new(deadline, None));
+        let mut next = start + self.first_after;
+        for _ in 0..most_bytes / self.bytes {
+            tokio::select! {
+                biased;
+                _ = std::future::poll_fn(|cx| forwarder.poll_stalled(cx)) => return Some(start.elapsed()),
+                _ = sleep_until(next) => forwarder.record_forwarded(self.bytes),
+            }
+            next += self.interval;
+        }
+        None
+    }
+}
+
+fn run_paused<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    runtime.expect("could not build the runtime").block_on(test)
+}
+
+/// Guards against a response that never ends because each of its pieces comes in time: its request is lost.
+#[test]
+fn endless_short_response_is_ended_in_time() {
+    for (bytes, interval_ms) in [(16, 200), (16, 299), (1, 10), (16, 1), (1_000, 100), (2_500, 280)] {
+        for first_after_ms in [0, 30, 399] {
+            let pieces = Pieces::new(first_after_ms, bytes, interval_ms);
+            let ended = run_paused(async { pieces.forward(Some(Instant::now() + DEADLINE), 10 << 20).await });
+            let ended = ended.unwrap_or_else(|| panic!("{pieces:?} never ended"));
+            // Timers have a resolution of a millisecond.
+            let latest = DEADLINE + LAST_END + Duration::from_millis(1);
+            assert!((DEADLINE..=latest).contains(&ended), "{pieces:?} ended after {ended:?}");
+        }
+    }
+}
+
+/// Guards against cutting off a long response of unknown length that is slow, whose end has no deadline.
+#[test]
+fn slow_long_response_is_not_cut_off() {
+    for pieces in [Pieces::new(399, 1_500, 30), Pieces::new(0, 1_500, 30), Pieces::new(399, 10_000, 200)] {
+        let ended = run_paused(async { pieces.forward(Some(Instant::now() + DEADLINE), 200_000).await });
+        assert_eq!(ended, None, "{pieces:?}");
+    }
+}
+
+/// Guards against cutting off a response that is complete but for what its slow client has not accepted.
+#[test]
+fn time_in_which_client_accepts_nothing_does_not_count() {
+    run_paused(async {
+        let deadline = Some(Instant::now() + DEADLINE);
+        let mut forwarder = ResponseForwarder::new(deadline, None);
+        for _ in 0..10 {
+            // Not polled while the client accepts nothing; then the next chunk needs a moment.
+            sleep(Duration::from_millis(300)).await;
+            let is_waiting = std::future::poll_fn(|cx| Poll::Ready(forwarder.poll_stalled(cx).is_pending()));
+            assert!(is_waiting.await, "after {} bytes", forwarder.forwarded);
+            sleep(Duration::from_millis(1)).await;
+            forwarder.record_forwarded(16);
+        }
+    });
+}
--- a/client-proxy/tests/unbounded_responses.rs
+++ b/client-proxy/tests/unbounded_responses.rs
@@ -1,12 +1,13 @@
-//! Responses without `Content-Length`: a complete one is forwarded, and a reset never counts as its end.
+//! Responses without `Content-Length`: a complete one is forwarded, a reset never counts as its end, and one
+//! that never ends is ended for the client.
 
 mod common;
 
 use std::io::{BufReader, Read, Write};
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::*;
 use serde_json::json;
@@ -23,6 +24,8 @@
     Complete,
     /// A reset in place of the end.
     Reset,
+    /// Further pieces until the client proxy closes the connection.
+    Never,
 }
 
 /// How an endpoint responds: so many pieces of this length, with a pause before each and before the end.
@@ -41,7 +44,7 @@
     }
 
     /// Responds to one request.
-    fn respond(&self, reader: &mut BufReader<std::net::TcpStream>) -> std::io::Result<()> {
+    fn respond(&self, reader: &mut BufReader<TcpStream>) -> std::io::Result<()> {
         let stream = reader.get_mut();
         let form = match self.form {
             Form::UntilClose => "Connection: close",
@@ -49,7 +52,8 @@
         };
         stream.write_all(format!("HTTP/1.1 200 OK\r\n{form}\r\n\r\n").as_bytes())?;
         let body = self.body();
-        for piece in body.chunks(self.length.max(1)) {
+        let mut pieces = body.chunks(self.length.max(1));
+        while let Some(piece) = pieces.next() {
             std::thread::sleep(self.pause);
             match self.form {
                 Form::UntilClose => stream.write_all(piece)?,
@@ -58,6 +62,9 @@
                     stream.write_all(&[head.as_bytes(), piece, b"\r\n"].concat())?;
                 }
             }
+            if self.end == End::Never && pieces.len() == 0 {
+                pieces = body.chunks(self.length);
+            }
         }
         std::thread::sleep(self.pause);
         match (self.end, self.form) {
@@ -68,13 +75,21 @@
             }
             (End::Complete, Form::Chunked) => stream.write_all(b"0\r\n\r\n"),
             (End::Complete, Form::UntilClose) => stream.shutdown(std::net::Shutdown::Both),
+            (End::Never, _) => unreachable!("there is always a next piece"),
         }
     }
 }
 
-/// The body that a client receives from such a response, if it takes it for a complete 200, and the number
-/// of attempts.
-fn forwarded(case: ResponseCase) -> (Option<Vec<u8>>, usize) {
+/// What a client receives of such a response.
+struct Received {
+    /// The body, if the client takes the response for a complete 200.
+    body: Option<Vec<u8>>,
+    /// Whether the connection was closed before the client stopped waiting.
+    is_closed: bool,
+    attempts: usize,
+}
+
+fn forwarded(case: ResponseCase, remaining_ms: u64) -> Received {
     let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a loopback port");
     let address = listener.local_addr().expect("no local address");
     let attempts = Arc::new(AtomicUsize::new(0));
@@ -92,11 +107,24 @@
     let proxy = Proxy::start(&config(discovery_server.address, settings()));
     discovery_server.wait_until_list_received();
     let mut client = proxy.client();
-    client.write(&post("pay", 3000, "Connection: close\r\n", ""));
-    let mut received = Vec::new();
-    let is_closed = client.stream.read_to_end(&mut received).is_ok();
+    client.write(&post("pay", remaining_ms, "Connection: close\r\n", ""));
+    let (received, is_closed) = read_to_end(&mut client.stream);
     let body = complete_body(&received).filter(|_| is_closed);
-    (body, attempts.load(Ordering::SeqCst))
+    Received { body, is_closed, attempts: attempts.load(Ordering::SeqCst) }
+}
+
+/// All bytes up to the end of the stream, and whether it has ended. Gives up after [`TEST_TIMEOUT`], also if
+/// more bytes keep coming.
+fn read_to_end(stream: &mut TcpStream) -> (Vec<u8>, bool) {
+    let (mut received, mut chunk, started) = (Vec::new(), [0; 16 * 1024], Instant::now());
+    while started.elapsed() < TEST_TIMEOUT {
+        match stream.read(&mut chunk) {
+            Ok(0) => return (received, true),
+            Ok(read) => received.extend_from_slice(&chunk[..read]),
+            Err(_) => break,
+        }
+    }
+    (received, false)
 }
 
 fn complete_body(received: &[u8]) -> Option<Vec<u8>> {
@@ -137,16 +165,12 @@
     cases
 }
 
-/// Runs all cases, eight at a time since they mostly sleep.
-fn run_all(end: End, check: fn(&ResponseCase, Option<Vec<u8>>, usize)) {
-    let cases = cases(end);
+/// Runs the cases, eight at a time since they mostly sleep.
+fn run_all(cases: &[ResponseCase], remaining_ms: u64, check: fn(&ResponseCase, Received)) {
     for batch in cases.chunks(8) {
         std::thread::scope(|scope| {
             for case in batch {
-                scope.spawn(move || {
-                    let (body, attempts) = forwarded(*case);
-                    check(case, body, attempts);
-                });
+                scope.spawn(move || check(case, forwarded(*case, remaining_ms)));
             }
         });
     }
@@ -155,7 +179,7 @@
 /// A complete response must not be failed for having no length.
 #[test]
 fn complete_response_without_length_is_forwarded() {
-    run_all(End::Complete, |case, body, attempts| {
+    run_all(&cases(End::Complete), 3000, |case, Received { body, attempts, .. }| {
         assert!(body == Some(case.body()), "{case:?}: {:?}", body.map(|body| body.len()));
         assert_eq!(attempts, 1, "{case:?}");
     });
@@ -165,7 +189,23 @@
 /// for it.
 #[test]
 fn reset_response_without_length_is_not_complete() {
-    run_all(End::Reset, |case, body, attempts| {
+    run_all(&cases(End::Reset), 3000, |case, Received { body, attempts, .. }| {
+        assert!(body.is_none(), "{case:?}");
+        assert_eq!(attempts, 1, "{case:?}");
+    });
+}
+
+/// Guards against a response that goes on in small pieces forever: its client waited without an end.
+#[test]
+fn endless_response_is_ended() {
+    let mut cases = Vec::new();
+    for form in [Form::UntilClose, Form::Chunked] {
+        for pause in [10, 60, 200].map(Duration::from_millis) {
+            cases.push(ResponseCase { form, pieces: 1, length: 7, pause, end: End::Never });
+        }
+    }
+    run_all(&cases, 500, |case, Received { body, is_closed, attempts }| {
+        assert!(is_closed, "{case:?} has no end for the client");
         assert!(body.is_none(), "{case:?}");
         assert_eq!(attempts, 1, "{case:?}");
     });
