Give a response that begins before its request is complete the client's deadline

Seen: an endpoint that responds in the middle of a long request, in pieces without an end or with a stall, left its client without an end, or with one after 5 s.

Cause: start_forwarding copied the deadline of the request, which is None until a streamed body has been read, and nothing set it afterwards. RequestEnd now keeps when the last byte was read, and the forwarder asks it; the connection's task is woken then.

endless_response_to_partial_request_is_ended and deadline_of_early_response_begins_with_ request_end fail with the deadline left unknown (no end within 20 s; never ended).

--- a/client-proxy/src/request_end.rs
+++ b/client-proxy/src/request_end.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::{Sleep, sleep, timeout};
+use tokio::time::{Instant, Sleep, sleep, timeout};
 
 use crate::request_body::{BodyError, PacedBody, StreamedRequestBody};
 
@@ -34,7 +34,8 @@
 /// request.
 #[derive(Default)]
 pub struct RequestEnd {
-    is_reached: Cell<bool>,
+    /// When the last byte of the request was read.
+    reached_at: Cell<Option<Instant>>,
     /// Nobody drains an unread body from now on.
     is_abandoned: Cell<bool>,
     unread: RefCell<Option<Unread>>,
@@ -46,14 +47,20 @@
 impl RequestEnd {
     /// Records that the last byte of the request has been read.
     pub fn mark_reached(&self) {
-        if !self.is_reached.replace(true) {
+        if self.reached_at.get().is_none() {
+            self.reached_at.set(Some(Instant::now()));
             self.wake();
         }
     }
 
     /// Whether the last byte of the request has been read.
     pub fn is_reached(&self) -> bool {
-        self.is_reached.get()
+        self.reached_at.get().is_some()
+    }
+
+    /// When the last byte of the request was read; `None` before that. The task that drains is woken then.
+    pub fn reached_at(&self) -> Option<Instant> {
+        self.reached_at.get()
     }
 
     /// Whether an unread body was left that may still be drained.
--- a/client-proxy/src/response_forwarding.rs
+++ b/client-proxy/src/response_forwarding.rs
@@ -12,7 +12,7 @@
 
 use crate::endpoint_pool::STALL_TIMEOUT;
 use crate::request_body::MAX_BUFFERED_BODY;
-use crate::upstream_request::UpstreamRequest;
+use crate::upstream_request::{ClientDeadline, UpstreamRequest};
 
 /// How long the next chunk of a response may be delayed past the client's deadline while the response may
 /// still be a short one. Three times the longest pause observed in the first 64 KiB from healthy endpoints,
@@ -48,14 +48,13 @@
 
     /// Begins forwarding a response, whose length is given if known.
     pub fn start_forwarding(&self, length: Option<u64>) -> ResponseForwarder {
-        ResponseForwarder::new(self.request.deadline().map(|deadline| deadline + self.slack), length)
+        ResponseForwarder::new(self.request.client_deadline(self.slack), length)
     }
 }
 
 /// Watches a response that is being forwarded.
 pub struct ResponseForwarder {
-    /// `None` while the request itself is still being received.
-    deadline: Option<Instant>,
+    deadline: ClientDeadline,
     length: Option<u64>,
     forwarded: u64,
     /// Part of `forwarded` that came before the deadline.
@@ -69,7 +68,7 @@
 }
 
 impl ResponseForwarder {
-    fn new(deadline: Option<Instant>, length: Option<u64>) -> ResponseForwarder {
+    fn new(deadline: ClientDeadline, length: Option<u64>) -> ResponseForwarder {
         ResponseForwarder {
             deadline,
             length,
@@ -86,7 +85,7 @@
         let now = Instant::now();
         let waiting_since = self.waiting_since.take().unwrap_or(now);
         self.forwarded += bytes as u64;
-        match self.deadline.filter(|deadline| *deadline < now) {
+        match self.deadline.get().filter(|deadline| *deadline < now) {
             Some(deadline) => self.waited_past_deadline += now - waiting_since.max(deadline),
             None => self.forwarded_in_time = self.forwarded,
         }
@@ -97,7 +96,7 @@
         let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
         let is_long = self.length.unwrap_or(self.forwarded) > MAX_BUFFERED_BODY as u64;
         let stalled_at = waiting_since + STALL_TIMEOUT;
-        let due = match self.deadline.filter(|_| !is_long) {
+        let due = match self.deadline.get().filter(|_| !is_long) {
             // A client of a short response would otherwise wait past its deadline for an endpoint that has
             // stalled, or for one that goes on sending without an end.
             Some(deadline) => {
--- a/client-proxy/src/response_forwarding/tests.rs
+++ b/client-proxy/src/response_forwarding/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::request_end::RequestEnd;
 
 const DEADLINE: Duration = Duration::from_millis(400);
 
@@ -13,7 +14,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
     runtime.expect("could not build the runtime").block_on(async {
         let start = Instant::now();
-        let deadline = deadline.map(|deadline| start + deadline);
+        let deadline = match deadline {
+            Some(deadline) => ClientDeadline::At(start + deadline),
+            None => ClientDeadline::AfterRequestEnd { end: Rc::default(), client_timeout: DEADLINE },
+        };
         let mut forwarder = ResponseForwarder::new(deadline, length);
         // A wait before the first bytes does not count against later ones.
         std::future::poll_fn(|cx| Poll::Ready(forwarder.poll_stalled(cx).is_pending())).await;
@@ -64,7 +68,7 @@
 
     /// Forwards pieces of a response of unknown length until it is ended, and returns after how long; `None`
     /// if `most_bytes` have been forwarded before.
-    async fn forward(self, deadline: Option<Instant>, most_bytes: usize) -> Option<Duration> {
+    async fn forward(self, deadline: ClientDeadline, most_bytes: usize) -> Option<Duration> {
         let (start, mut forwarder) = (Instant::now(), ResponseForwarder::new(deadline, None));
         let mut next = start + self.first_after;
         for _ in 0..most_bytes / self.bytes {
@@ -90,7 +94,9 @@
     for (bytes, interval_ms) in [(16, 200), (16, 299), (1, 10), (16, 1), (1_000, 100), (2_500, 280)] {
         for first_after_ms in [0, 30, 399] {
             let pieces = Pieces::new(first_after_ms, bytes, interval_ms);
-            let ended = run_paused(async { pieces.forward(Some(Instant::now() + DEADLINE), 10 << 20).await });
+            let ended = run_paused(async {
+                pieces.forward(ClientDeadline::At(Instant::now() + DEADLINE), 10 << 20).await
+            });
             let ended = ended.unwrap_or_else(|| panic!("{pieces:?} never ended"));
             // Timers have a resolution of a millisecond.
             let latest = DEADLINE + LAST_END + Duration::from_millis(1);
@@ -103,16 +109,46 @@
 #[test]
 fn slow_long_response_is_not_cut_off() {
     for pieces in [Pieces::new(399, 1_500, 30), Pieces::new(0, 1_500, 30), Pieces::new(399, 10_000, 200)] {
-        let ended = run_paused(async { pieces.forward(Some(Instant::now() + DEADLINE), 200_000).await });
+        let ended = run_paused(async {
+            pieces.forward(ClientDeadline::At(Instant::now() + DEADLINE), 200_000).await
+        });
         assert_eq!(ended, None, "{pieces:?}");
     }
 }
 
+/// Guards against a response without a deadline because it began before its request was complete.
+#[test]
+fn deadline_of_early_response_begins_with_request_end() {
+    for pieces in [Pieces::new(0, 16, 200), Pieces::new(0, 16, 4_000)] {
+        let ended = run_paused(async {
+            let (end, request_time) = (Rc::<RequestEnd>::default(), Duration::from_secs(1));
+            let deadline = ClientDeadline::AfterRequestEnd { end: Rc::clone(&end), client_timeout: DEADLINE };
+            let read_request = async {
+                sleep(request_time).await;
+                end.mark_reached();
+                std::future::pending().await
+            };
+            // The connection's task, which polls both, is woken at the end of the request.
+            let drained = std::future::poll_fn(|cx| {
+                let _ = end.poll_drain(cx, Duration::MAX);
+                Poll::Pending
+            });
+            tokio::select! {
+                ended = pieces.forward(deadline, 10 << 20) => ended.map(|ended| ended - request_time),
+                () = read_request => None,
+                () = drained => None,
+            }
+        });
+        let ended = ended.unwrap_or_else(|| panic!("{pieces:?} never ended"));
+        assert!(ended <= DEADLINE + LAST_END + Duration::from_millis(1), "{pieces:?}: {ended:?}");
+    }
+}
+
 /// Guards against cutting off a response that is complete but for what its slow client has not accepted.
 #[test]
 fn time_in_which_client_accepts_nothing_does_not_count() {
     run_paused(async {
-        let deadline = Some(Instant::now() + DEADLINE);
+        let deadline = ClientDeadline::At(Instant::now() + DEADLINE);
         let mut forwarder = ResponseForwarder::new(deadline, None);
         for _ in 0..10 {
             // Not polled while the client accepts nothing; then the next chunk needs a moment.
--- a/client-proxy/src/upstream_request.rs
+++ b/client-proxy/src/upstream_request.rs
@@ -43,6 +43,31 @@
     }
 }
 
+/// The client's deadline, which may begin after its response has.
+pub enum ClientDeadline {
+    /// The complete request has been read.
+    At(Instant),
+    /// The request is still being read.
+    AfterRequestEnd {
+        /// Tells when the last byte of the request was read.
+        end: Rc<RequestEnd>,
+        /// How long the client waits from then on.
+        client_timeout: Duration,
+    },
+}
+
+impl ClientDeadline {
+    /// The deadline, if the complete request has been read.
+    pub fn get(&self) -> Option<Instant> {
+        match self {
+            ClientDeadline::At(deadline) => Some(*deadline),
+            ClientDeadline::AfterRequestEnd { end, client_timeout } => {
+                end.reached_at().map(|reached_at| reached_at + *client_timeout)
+            }
+        }
+    }
+}
+
 /// A client's request, as it is forwarded.
 pub struct UpstreamRequest {
     /// Unchanged from the client.
@@ -100,6 +125,17 @@
         completed_at.map(|completed_at| completed_at + self.client_timeout)
     }
 
+    /// The client's deadline, `slack` later, for a response that may outlive this request.
+    pub fn client_deadline(&self, slack: Duration) -> ClientDeadline {
+        match self.deadline() {
+            Some(deadline) => ClientDeadline::At(deadline + slack),
+            None => ClientDeadline::AfterRequestEnd {
+                end: Rc::clone(&self.body.end),
+                client_timeout: self.client_timeout + slack,
+            },
+        }
+    }
+
     /// Remaining time, in whole milliseconds, to pass to an attempt that begins now: up to the client's
     /// deadline or `until`, whichever is earlier.
     pub fn remaining_ms(&self, until: Option<Instant>) -> u64 {
--- a/client-proxy/tests/unbounded_responses.rs
+++ b/client-proxy/tests/unbounded_responses.rs
@@ -210,3 +210,36 @@
         assert_eq!(attempts, 1, "{case:?}");
     });
 }
+
+/// Guards against a response without a deadline because it began while its request was still being sent.
+#[test]
+fn endless_response_to_partial_request_is_ended() {
+    const BODY_BYTES: usize = 300_000;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a loopback port");
+    let address = listener.local_addr().expect("no local address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut writer = stream.expect("accept failed");
+            let mut reader = writer.try_clone().expect("could not clone the socket");
+            std::thread::spawn(move || std::io::copy(&mut reader, &mut std::io::sink()));
+            std::thread::spawn(move || {
+                let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                while writer.write_all(b"3\r\nabc\r\n").is_ok() {
+                    std::thread::sleep(Duration::from_millis(60));
+                }
+            });
+        }
+    });
+    let discovery_server = DiscoveryServer::start(json!([endpoint("h", address, "SERVING")]));
+    let proxy = Proxy::start(&config(discovery_server.address, settings()));
+    discovery_server.wait_until_list_received();
+    let mut client = proxy.client();
+    let request = post("pay", 500, "", &"x".repeat(BODY_BYTES));
+    let (sent_first, sent_last) = request.split_at(request.len() - BODY_BYTES / 3);
+    client.write(sent_first);
+    let mut first = [0; 13];
+    client.stream.read_exact(&mut first).expect("no response");
+    assert_eq!(&first, b"HTTP/1.1 200 ");
+    client.write(sent_last);
+    assert!(read_to_end(&mut client.stream).1, "the response has no end for the client");
+}
