Count a client as gone if a full socket buffer may hide its disconnect for over 50 ms

Cause: while the socket buffer is full the FIN is not received, so RDHUP is not set, and query_hang_up took that for connected. Ruled out: a received close that was overlooked (clients that send little cause none), resets (they discard the unread data).

Change: more unread data than is read ahead means an unknown status, which counts as gone 50 ms after the buffer was last known to be empty. An attempt of a long body that is still being received begins all the same; before its last byte the client is asked for again.

--- a/client-proxy/src/clients.rs
+++ b/client-proxy/src/clients.rs
@@ -359,7 +359,8 @@
         (DECISION_MARGIN.min(client_timeout / 10), RESPONSE_MARGIN.min(client_timeout / 20));
     let client_timeout = client_timeout - decision_margin;
     let client = Some(Rc::clone(&conn.stream));
-    let (method, uri, suspect_idle_time) = (head.method, origin_form(head.uri), Cell::default());
+    let (method, uri) = (head.method, origin_form(head.uri));
+    let (suspect_idle_time, is_unconfirmed) = Default::default();
     let request = UpstreamRequest {
         method,
         uri,
@@ -370,6 +371,7 @@
         client_timeout,
         client,
         suspect_idle_time,
+        is_unconfirmed,
     };
     if request.streamed_body().is_none() && conn.stream.read_ahead_for_end().is_some() {
         // The client has closed its writing side while its request waited to be read: an attempt would be
--- a/client-proxy/src/monitored_stream.rs
+++ b/client-proxy/src/monitored_stream.rs
@@ -34,11 +34,27 @@
     Reset,
 }
 
+/// What is known of the peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerStatus {
+    /// It has not ended the connection.
+    Connected,
+    /// It has ended the connection.
+    HungUp(HangUp),
+    /// More data is unread than is read ahead. The end of the stream may be behind it, and is not received
+    /// while the socket buffer is full.
+    Unknown,
+}
+
 /// Bytes that are read ahead at most to detect an end of stream behind unread data.
 const MAX_READ_AHEAD: usize = 16 * 1024;
 /// How often to check for an end of stream behind more data than that.
 const READ_AHEAD_RECHECK: Duration = Duration::from_millis(20);
 
+/// A peer of unknown status counts as gone once it was last known to be connected this long ago: no attempt
+/// may begin over 100 ms after a client has closed, and the rest is for a process that is stalled.
+pub const MAX_UNKNOWN_TIME: Duration = Duration::from_millis(50);
+
 /// Whether a request may still be sent; called just before its first byte is written.
 pub type MayBegin = Box<dyn Fn() -> bool>;
 
@@ -276,13 +292,30 @@
     /// reported an end that has already arrived.
     pub fn query_hang_up(&self) -> Option<HangUp> {
         let hung_up = self.read_ahead(|chunk| (&*SockRef::from(&self.stream)).read(chunk));
-        let is_all_read = self.read_ahead_buffer.borrow().length < MAX_READ_AHEAD;
-        if hung_up.is_some() || is_all_read {
+        if hung_up.is_some() || !self.is_read_ahead_full() {
             return hung_up;
         }
         self.poll_read_closed().then_some(HangUp::Closed)
     }
 
+    /// The status of the peer, asked of the system now.
+    pub fn query_status(&self) -> PeerStatus {
+        match self.query_hang_up() {
+            Some(hung_up) => PeerStatus::HungUp(hung_up),
+            None if self.is_read_ahead_full() => PeerStatus::Unknown,
+            None => PeerStatus::Connected,
+        }
+    }
+
+    /// When the socket buffer was last known to be empty, with no end of the stream.
+    pub fn last_known_connected(&self) -> Instant {
+        self.last_empty.get()
+    }
+
+    fn is_read_ahead_full(&self) -> bool {
+        self.read_ahead_buffer.borrow().length >= MAX_READ_AHEAD
+    }
+
     fn read_ahead(&self, read: impl Fn(&mut [u8]) -> io::Result<usize>) -> Option<HangUp> {
         let mut buffer = self.read_ahead_buffer.borrow_mut();
         let asked = Instant::now();
@@ -318,17 +351,20 @@
         matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
-    /// Waits until the peer closes its writing side or resets the connection.
+    /// Waits until the peer closes its writing side or resets the connection, or has been of unknown status
+    /// for [`MAX_UNKNOWN_TIME`]; the last counts as closed.
     pub async fn wait_for_hang_up(&self) -> HangUp {
         loop {
             if let Some(hung_up) = self.read_ahead_for_end() {
                 return hung_up;
             }
-            if self.read_ahead_buffer.borrow().length < MAX_READ_AHEAD {
+            if !self.is_read_ahead_full() {
                 // Fails only when the runtime shuts down.
                 let _ = self.stream.readable().await;
                 // The socket buffer was empty until now: the runtime wakes this task as soon as data arrives.
                 self.last_empty.set(Instant::now());
+            } else if self.last_known_connected().elapsed() > MAX_UNKNOWN_TIME {
+                return HangUp::Closed;
             } else {
                 sleep(READ_AHEAD_RECHECK).await;
             }
--- a/client-proxy/src/monitored_stream/tests.rs
+++ b/client-proxy/src/monitored_stream/tests.rs
@@ -89,6 +89,27 @@
     });
 }
 
+/// Guards against taking a peer for connected whose end of the stream a full socket buffer may hide.
+#[test]
+fn peer_of_unknown_status_counts_as_closed() {
+    run_paused(async {
+        let (watched, mut peer) = connected_pair().await;
+        assert_eq!(watched.query_status(), PeerStatus::Connected);
+        peer.write_all(&vec![0; MAX_READ_AHEAD + 1]).expect("could not write");
+        let written = Instant::now();
+        assert_eq!(watched.query_status(), PeerStatus::Unknown);
+        assert_eq!(watched.wait_for_hang_up().await, HangUp::Closed);
+        let waited = written.elapsed();
+        assert!((MAX_UNKNOWN_TIME..Duration::from_millis(100)).contains(&waited), "{waited:?}");
+        let mut unread = vec![0; MAX_READ_AHEAD + 1];
+        let mut io = Io(Rc::clone(&watched));
+        tokio::io::AsyncReadExt::read_exact(&mut io, &mut unread).await.expect("could not read");
+        assert_eq!(watched.query_status(), PeerStatus::Connected, "nothing is unread any more");
+        peer.shutdown(std::net::Shutdown::Write).expect("could not shut down the sending side");
+        assert_eq!(watched.query_status(), PeerStatus::HungUp(HangUp::Closed));
+    });
+}
+
 /// A read that returns less than the buffer holds does not mean that nothing follows: an end of stream may
 /// be behind it.
 #[test]
--- a/client-proxy/src/request_body.rs
+++ b/client-proxy/src/request_body.rs
@@ -40,6 +40,9 @@
     /// The memory budget for bodies is used up.
     #[error("there is no room for the body at present")]
     NoMemory,
+    /// It is complete, but its client has left.
+    #[error("the client has left")]
+    Abandoned,
 }
 
 /// A body with a minimum rate. It is read only as fast as it is polled, and only the time spent waiting for
--- a/client-proxy/src/upstream_request.rs
+++ b/client-proxy/src/upstream_request.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, Uri};
 use tokio::time::{Instant, sleep_until};
 
-use crate::monitored_stream::{HangUp, MonitoredStream};
+use crate::monitored_stream::{HangUp, MAX_UNKNOWN_TIME, MonitoredStream, PeerStatus};
 use crate::request_body::{BodyError, CHUNK_SIZE, Payload, StreamedRequestBody};
 use crate::request_end::{RequestEnd, Unread};
 
@@ -90,6 +90,8 @@
     /// How long a connection had been idle on which an attempt of this request failed without a response
     /// byte.
     pub suspect_idle_time: Cell<Option<Duration>>,
+    /// The newest attempt began in the middle of the body, and the client may have left long before.
+    pub is_unconfirmed: Cell<bool>,
 }
 
 impl UpstreamRequest {
@@ -107,6 +109,7 @@
             client_timeout,
             client: None,
             suspect_idle_time: Cell::default(),
+            is_unconfirmed: Cell::default(),
         }
     }
 
@@ -160,16 +163,35 @@
         }
     }
 
-    /// Whether the client has closed its writing side, asked of the system now. No further attempt is sent
-    /// then.
-    pub fn is_abandoned(&self) -> bool {
-        self.client.as_ref().is_some_and(|client| client.query_hang_up().is_some())
-    }
-
     /// Whether an attempt may begin now: the client is connected and has time left.
     pub fn may_begin(&self) -> bool {
-        let in_time = self.deadline().is_none_or(|deadline| Instant::now() < deadline);
-        in_time && !self.is_abandoned()
+        self.is_unconfirmed.set(false);
+        self.deadline().is_none_or(|deadline| Instant::now() < deadline) && self.check_client()
+    }
+
+    /// Whether the client is connected, asked of the system now, or was until shortly before if that cannot
+    /// be told.
+    fn check_client(&self) -> bool {
+        let Some(client) = &self.client else { return true };
+        match client.query_status() {
+            PeerStatus::Connected => true,
+            PeerStatus::HungUp(_) => false,
+            PeerStatus::Unknown if client.last_known_connected().elapsed() <= MAX_UNKNOWN_TIME => true,
+            PeerStatus::Unknown => {
+                // The end of the stream may be behind a long body, and is not visible before that has been
+                // read. The attempt begins, and this is checked again before its last byte.
+                let is_incomplete = self.streamed_body().is_some_and(|body| body.completed_at().is_none());
+                self.is_unconfirmed.set(is_incomplete);
+                is_incomplete
+            }
+        }
+    }
+
+    /// Whether the newest attempt must not be completed, since its client may have left long before it
+    /// began. To be called when the complete body has been read.
+    fn is_still_unconfirmed(&self) -> bool {
+        self.is_unconfirmed.get()
+            && self.client.as_ref().is_some_and(|client| client.query_status() != PeerStatus::Connected)
     }
 
     /// Waits until the client closes its writing side after its complete request.
@@ -240,6 +262,9 @@
             chunk = Some(data);
         }
         if chunk.is_none() || self.is_end_stream() {
+            if request.is_still_unconfirmed() {
+                return Poll::Ready(Some(Err(BodyError::Abandoned)));
+            }
             if let Some(body) = request.streamed_body() {
                 body.mark_complete();
                 request.body.end.mark_reached();
--- a/client-proxy/tests/client_disconnects.rs
+++ b/client-proxy/tests/client_disconnects.rs
@@ -42,6 +42,20 @@
     }
 }
 
+/// Writes as much as the system takes. What lies behind it in the stream does not reach the client proxy.
+fn fill_buffers(client: &mut Client) {
+    let flood = look_request(3000).repeat(10_000);
+    let socket = socket2::SockRef::from(&client.stream);
+    // Bounds what the system takes.
+    socket.set_send_buffer_size(256 * 1024).expect("could not set the buffer size");
+    client.stream.set_nonblocking(true).expect("could not make the socket non-blocking");
+    let mut is_full = false;
+    while !is_full {
+        is_full = client.stream.write(flood.as_bytes()).is_err();
+    }
+    client.stream.set_nonblocking(false).expect("could not make the socket blocking");
+}
+
 /// An upstream that sends one response for each use of the sender.
 fn gated_upstream(response: fn(usize) -> String) -> (Upstream, Sender<()>) {
     let (go, gate) = channel::<()>();
@@ -344,3 +358,69 @@
         assert!(!heads.try_iter().any(|head| head.contains("x-mark: leaving")), "{departure:?}");
     }
 }
+
+/// For how long a client is gone before an attempt for it could begin.
+const GONE_FOR: Duration = Duration::from_millis(250);
+
+/// Guards against a retry for a client that has closed behind more than all buffers hold, so that its end of
+/// the stream does not arrive.
+#[test]
+fn hidden_disconnect_prevents_retry() {
+    let rejected = |_| http_response("503 Service Unavailable", "X-Turned-Away: 1\r\n", "");
+    let ((one, release_one), (two, release_two)) = (gated_upstream(rejected), gated_upstream(rejected));
+    let (proxy, _discovery) = Proxy::with_upstreams(&[&one, &two]);
+    let mut client = proxy.client();
+    client.write(&post("pay", 15_000, "", ""));
+    let has_request = |upstream: &Upstream| matches!(upstream.events.try_recv(), Ok(Event::Request(..)));
+    while !has_request(&one) && !has_request(&two) {
+        std::thread::yield_now();
+    }
+    fill_buffers(&mut client);
+    client.close();
+    std::thread::sleep(GONE_FOR);
+    for go in [&release_one, &release_two] {
+        for _ in 0..4 {
+            go.send(()).expect("the upstream thread has ended");
+        }
+    }
+    // Once another request has been answered, the rejection of the first has been processed.
+    assert_eq!(proxy.client().round_trip(&post("pay", 15_000, "", "")).status(), 503);
+    let others = [&one, &two].map(common::Upstream::take_request_count);
+    // These are the attempts of the other request, which both upstreams reject: three at most.
+    assert!(others[0] + others[1] <= 3, "{others:?}");
+}
+
+/// Guards against an attempt of a long request whose client has left long before: the end of the stream is
+/// only visible behind the complete body. A client that waits must get its response.
+#[test]
+fn hidden_disconnect_behind_long_body_prevents_attempt() {
+    const BODY_BYTES: usize = 1 << 20;
+    for is_gone in [true, false] {
+        let upstream = Upstream::start(|n| Reply::Send(http_ok(n)));
+        let discovery_server = DiscoveryServer::start(json!([]));
+        let proxy = Proxy::start(&config(discovery_server.address, settings()));
+        discovery_server.wait_until_list_received();
+        let mut client = proxy.client();
+        client.stream.set_write_timeout(Some(TEST_TIMEOUT)).expect("could not set the write timeout");
+        client.write(&post("pay", 15_000, "", &"x".repeat(BODY_BYTES)));
+        let mut client = Some(client);
+        if is_gone {
+            client.take().into_iter().for_each(Client::close);
+        }
+        std::thread::sleep(GONE_FOR);
+        discovery_server.publish(json!([endpoint("h", upstream.address, "SERVING")]), true);
+        discovery_server.wait_until_list_received();
+        if let Some(client) = &mut client {
+            assert_eq!(client.read().expect("no response").status(), 200);
+            assert_eq!(upstream.take_request_count(), 1);
+        } else {
+            // Requests that wait for an upstream are retried every 100 ms.
+            let mut other = proxy.client();
+            for _ in 0..15 {
+                assert_eq!(other.round_trip(&look_request(3000)).status(), 200);
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            assert_eq!(upstream.take_request_count(), 15, "an attempt for a client that had left");
+        }
+    }
+}
