--- a/client-proxy/src/response_forwarding/tests.rs
+++ b/client-proxy/src/response_forwarding/tests.rs
@@ -126,7 +126,7 @@
             let read_request = async {
                 sleep(request_time).await;
                 end.mark_reached();
-                std::future::pending().await
+                std::future::pending::<()>().await;
             };
             // The connection's task, which polls both, is woken at the end of the request.
             let drained = std::future::poll_fn(|cx| {
