Test hidden disconnects with resets, half-closes and chunked bodies too

The retry test now leaves by a close, a reset and a shutdown of the sending side; the test of long bodies has both framings. Upstreams of the tests read chunked requests, with the function that bodies.rs had for itself.

Without the status of an unknown client the close fails as before (5 attempts for 3). With the check before the last byte left out where a chunked body ends, the chunked case fails (16 attempts for 15). All pass as it is.

--- a/client-proxy/tests/bodies.rs
+++ b/client-proxy/tests/bodies.rs
@@ -57,18 +57,7 @@
         body.resize(rest.split("\r\n").next()?.parse().ok()?, 0);
         reader.read_exact(&mut body).ok()?;
     } else if head.contains("transfer-encoding: chunked") {
-        loop {
-            let mut line = String::new();
-            reader.read_line(&mut line).ok()?;
-            let length = usize::from_str_radix(line.trim_end().split(';').next()?, 16).ok()?;
-            let from = body.len();
-            body.resize(from + length, 0);
-            reader.read_exact(&mut body[from..]).ok()?;
-            reader.read_line(&mut line).ok()?;
-            if length == 0 {
-                return Some(body);
-            }
-        }
+        return read_chunked_body(reader);
     }
     Some(body)
 }
--- a/client-proxy/tests/client_disconnects.rs
+++ b/client-proxy/tests/client_disconnects.rs
@@ -362,32 +362,40 @@
 /// For how long a client is gone before an attempt for it could begin.
 const GONE_FOR: Duration = Duration::from_millis(250);
 
-/// Guards against a retry for a client that has closed behind more than all buffers hold, so that its end of
+/// Guards against a retry for a client that has left behind more than all buffers hold, so that its end of
 /// the stream does not arrive.
 #[test]
 fn hidden_disconnect_prevents_retry() {
-    let rejected = |_| http_response("503 Service Unavailable", "X-Turned-Away: 1\r\n", "");
-    let ((one, release_one), (two, release_two)) = (gated_upstream(rejected), gated_upstream(rejected));
-    let (proxy, _discovery) = Proxy::with_upstreams(&[&one, &two]);
-    let mut client = proxy.client();
-    client.write(&post("pay", 15_000, "", ""));
-    let has_request = |upstream: &Upstream| matches!(upstream.events.try_recv(), Ok(Event::Request(..)));
-    while !has_request(&one) && !has_request(&two) {
-        std::thread::yield_now();
-    }
-    fill_buffers(&mut client);
-    client.close();
-    std::thread::sleep(GONE_FOR);
-    for go in [&release_one, &release_two] {
-        for _ in 0..4 {
-            go.send(()).expect("the upstream thread has ended");
+    let shut_down_sending = |client: Client| {
+        client.stream.shutdown(Shutdown::Write).expect("could not shut down the sending side");
+        std::mem::forget(client);
+    };
+    let departures: [(&str, fn(Client)); 3] =
+        [("close", Client::close), ("reset", Client::reset), ("half-close", shut_down_sending)];
+    for (departure, leave) in departures {
+        let rejected = |_| http_response("503 Service Unavailable", "X-Turned-Away: 1\r\n", "");
+        let ((one, release_one), (two, release_two)) = (gated_upstream(rejected), gated_upstream(rejected));
+        let (proxy, _discovery) = Proxy::with_upstreams(&[&one, &two]);
+        let mut client = proxy.client();
+        client.write(&post("pay", 15_000, "", ""));
+        let has_request = |upstream: &Upstream| matches!(upstream.events.try_recv(), Ok(Event::Request(..)));
+        while !has_request(&one) && !has_request(&two) {
+            std::thread::yield_now();
+        }
+        fill_buffers(&mut client);
+        leave(client);
+        std::thread::sleep(GONE_FOR);
+        for go in [&release_one, &release_two] {
+            for _ in 0..4 {
+                go.send(()).expect("the upstream thread has ended");
+            }
         }
+        // Once another request has been answered, the rejection of the first has been processed.
+        assert_eq!(proxy.client().round_trip(&post("pay", 15_000, "", "")).status(), 503);
+        let others = [&one, &two].map(common::Upstream::take_request_count);
+        // These are the attempts of the other request, which both upstreams reject: three at most.
+        assert!(others[0] + others[1] <= 3, "{departure}: {others:?}");
     }
-    // Once another request has been answered, the rejection of the first has been processed.
-    assert_eq!(proxy.client().round_trip(&post("pay", 15_000, "", "")).status(), 503);
-    let others = [&one, &two].map(common::Upstream::take_request_count);
-    // These are the attempts of the other request, which both upstreams reject: three at most.
-    assert!(others[0] + others[1] <= 3, "{others:?}");
 }
 
 /// Guards against an attempt of a long request whose client has left long before: the end of the stream is
@@ -395,14 +403,20 @@
 #[test]
 fn hidden_disconnect_behind_long_body_prevents_attempt() {
     const BODY_BYTES: usize = 1 << 20;
-    for is_gone in [true, false] {
+    let body = "x".repeat(BODY_BYTES);
+    let with_length = post("pay", 15_000, "", &body);
+    let chunked = post("pay", 15_000, "", "").replace("Content-Length: 0", "Transfer-Encoding: chunked")
+        + &format!("{BODY_BYTES:x}\r\n{body}\r\n0\r\n\r\n");
+    for (request, is_gone) in
+        [(&with_length, true), (&with_length, false), (&chunked, true), (&chunked, false)]
+    {
         let upstream = Upstream::start(|n| Reply::Send(http_ok(n)));
         let discovery_server = DiscoveryServer::start(json!([]));
         let proxy = Proxy::start(&config(discovery_server.address, settings()));
         discovery_server.wait_until_list_received();
         let mut client = proxy.client();
         client.stream.set_write_timeout(Some(TEST_TIMEOUT)).expect("could not set the write timeout");
-        client.write(&post("pay", 15_000, "", &"x".repeat(BODY_BYTES)));
+        client.write(request);
         let mut client = Some(client);
         if is_gone {
             client.take().into_iter().for_each(Client::close);
--- a/client-proxy/tests/common/messages.rs
+++ b/client-proxy/tests/common/messages.rs
@@ -40,12 +40,38 @@
         let Some((name, value)) = line.trim_end().split_once(':') else { break };
         message.headers.push((name.to_owned(), value.trim().to_owned()));
     }
+    if message.header("transfer-encoding") == Some("chunked") {
+        message.body = read_chunked_body(reader)?;
+        return Some(message);
+    }
     let length = message.header("content-length").map_or(0, |digits| digits.parse().expect("invalid length"));
     message.body = vec![0; length];
     reader.read_exact(&mut message.body).ok()?;
     Some(message)
 }
 
+/// Reads a chunked body and its trailers; `None` if it is truncated or malformed.
+pub fn read_chunked_body(reader: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let length = usize::from_str_radix(read_line(reader)?.split(';').next()?, 16).ok()?;
+        if length == 0 {
+            while !read_line(reader)?.is_empty() {}
+            return Some(body);
+        }
+        let from = body.len();
+        body.resize(from + length, 0);
+        reader.read_exact(&mut body[from..]).ok()?;
+        read_line(reader)?;
+    }
+}
+
+/// Reads a line and returns it without its end; `None` at the end of the stream.
+fn read_line(reader: &mut impl BufRead) -> Option<String> {
+    let mut line = String::new();
+    (reader.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_owned())
+}
+
 pub fn http_response(status: &str, headers: &str, body: &str) -> String {
     format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
