Retry over a new connection after an idle one was lost, however old the others are

Seen: a repeatable request got 503 for 200 where two endpoints had lost the state of their idle connections, and those of one had become idle a little later than those of the other.

Cause: after an attempt that failed without a response byte on a connection idle for 300 ms, only connections idle for at least as long were avoided (suspect_idle_time), though endpoints are known to keep connections for SUSPECT_IDLE_TIME (200 ms) only. The retry took a younger one, which was lost too, and no endpoint was left.

--- a/client-proxy/src/clients.rs
+++ b/client-proxy/src/clients.rs
@@ -360,7 +360,7 @@
     let client_timeout = client_timeout - decision_margin;
     let client = Some(Rc::clone(&conn.stream));
     let (method, uri) = (head.method, origin_form(head.uri));
-    let (suspect_idle_time, is_unconfirmed) = Default::default();
+    let (avoids_idle, is_unconfirmed) = Default::default();
     let request = UpstreamRequest {
         method,
         uri,
@@ -370,7 +370,7 @@
         sent_after,
         client_timeout,
         client,
-        suspect_idle_time,
+        avoids_idle,
         is_unconfirmed,
     };
     if request.streamed_body().is_none() && conn.stream.read_ahead_for_end().is_some() {
--- a/client-proxy/src/endpoint_pool/attempt.rs
+++ b/client-proxy/src/endpoint_pool/attempt.rs
@@ -26,8 +26,8 @@
 pub(super) const LENGTH_PROBE_TIME: Duration = Duration::from_millis(20);
 
 /// If a connection that was idle for this long yields no response byte, its endpoint may have silently
-/// dropped it, together with those that have been idle for at least as long. Endpoints keep connections for
-/// at least this time, so failures after shorter idle times have other causes.
+/// dropped it, and other connections that have been idle for this long are suspect too. Endpoints keep
+/// connections for at least this time, so failures after shorter idle times have other causes.
 pub(super) const SUSPECT_IDLE_TIME: Duration = Duration::from_millis(200);
 
 /// How an attempt ended, and what it returned.
@@ -75,13 +75,11 @@
             return AttemptResult::without_response(Outcome::NeverSent);
         }
         let latest = until.into_iter().chain(request.deadline()).min();
-        let mut conn = match self
-            .acquire_connection(endpoint, location, latest, request.suspect_idle_time.get())
-            .await
-        {
-            Ok(conn) => conn,
-            Err(outcome) => return AttemptResult::without_response(outcome),
-        };
+        let mut conn =
+            match self.acquire_connection(endpoint, location, latest, request.avoids_idle.get()).await {
+                Ok(conn) => conn,
+                Err(outcome) => return AttemptResult::without_response(outcome),
+            };
         let (connected, idle_for) = (Instant::now(), conn.idle_for);
         let remaining_ms = request.remaining_ms(until);
         // The endpoint may have been found to drain or restart during the dial, and the dial may have left
@@ -146,7 +144,7 @@
         let failed =
             matches!(result.outcome, Outcome::Reset | Outcome::TimedOut) && stream.first_byte_at().is_none();
         if failed && idle_for >= SUSPECT_IDLE_TIME {
-            request.suspect_idle_time.set(Some(idle_for));
+            request.avoids_idle.set(true);
             self.close_idle_since_before(endpoint, connected);
         }
         if request.streamed_body().is_some() {
--- a/client-proxy/src/endpoint_pool/connection.rs
+++ b/client-proxy/src/endpoint_pool/connection.rs
@@ -13,6 +13,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, timeout_at};
 
+use super::attempt::SUSPECT_IDLE_TIME;
 use super::{BUFFER_SIZE, EndpointPool};
 use crate::monitored_stream::{Io, MonitoredStream};
 use crate::socket_budget::Side;
@@ -39,34 +40,29 @@
 }
 
 impl EndpointPool {
-    /// Reuses a healthy idle connection or dials. If an attempt of the same request has failed on a
-    /// connection that had been idle for `suspect_idle_time`, one that has been idle for as long is reused
-    /// only if the dial fails.
+    /// Reuses a healthy idle connection or dials. With `avoids_idle`, one that has been idle for
+    /// [`SUSPECT_IDLE_TIME`] is reused only if the dial fails.
     pub(super) async fn acquire_connection(
         &self,
         endpoint: EndpointId,
         location: EndpointLocation,
         until: Option<Instant>,
-        suspect_idle_time: Option<Duration>,
+        avoids_idle: bool,
     ) -> Result<PooledConnection, Outcome> {
-        if let Some(conn) = self.reuse(endpoint, suspect_idle_time).await {
+        let max_idle = if avoids_idle { SUSPECT_IDLE_TIME.min(self.max_idle) } else { self.max_idle };
+        if let Some(conn) = self.reuse(endpoint, max_idle).await {
             return Ok(conn);
         }
         let dialed = self.dial(location, until).await;
         let in_time = until.is_none_or(|until| Instant::now() < until);
-        if dialed.is_err() && suspect_idle_time.is_some() && in_time {
-            return self.reuse(endpoint, None).await.map_or(dialed, Ok);
+        if dialed.is_err() && avoids_idle && in_time {
+            return self.reuse(endpoint, self.max_idle).await.map_or(dialed, Ok);
         }
         dialed
     }
 
-    /// Takes a healthy connection that has been idle for less than `suspect_idle_time`.
-    pub(super) async fn reuse(
-        &self,
-        endpoint: EndpointId,
-        suspect_idle_time: Option<Duration>,
-    ) -> Option<PooledConnection> {
-        let max_idle = suspect_idle_time.map_or(self.max_idle, |suspect| suspect.min(self.max_idle));
+    /// Takes a healthy connection that has been idle for less than `max_idle`.
+    pub(super) async fn reuse(&self, endpoint: EndpointId, max_idle: Duration) -> Option<PooledConnection> {
         while let Some(mut idle) = self.pop_idle(endpoint, max_idle) {
             // Nothing was written to it yet, so using another one cannot duplicate the request.
             if idle.conn.stream.is_quiet() && idle.conn.sender.ready().await.is_ok() {
--- a/client-proxy/src/upstream_request.rs
+++ b/client-proxy/src/upstream_request.rs
@@ -87,9 +87,9 @@
     pub client_timeout: Duration,
     /// Connection of the client.
     pub client: Option<Rc<MonitoredStream>>,
-    /// How long a connection had been idle on which an attempt of this request failed without a response
-    /// byte.
-    pub suspect_idle_time: Cell<Option<Duration>>,
+    /// An attempt of this request failed without a response byte on a connection that had been idle for
+    /// longer than endpoints surely keep one.
+    pub avoids_idle: Cell<bool>,
     /// The newest attempt began in the middle of the body, and the client may have left long before.
     pub is_unconfirmed: Cell<bool>,
 }
@@ -108,7 +108,7 @@
             sent_after: Instant::now(),
             client_timeout,
             client: None,
-            suspect_idle_time: Cell::default(),
+            avoids_idle: Cell::default(),
             is_unconfirmed: Cell::default(),
         }
     }
--- a/client-proxy/tests/client_disconnects.rs
+++ b/client-proxy/tests/client_disconnects.rs
@@ -359,6 +359,9 @@
     }
 }
 
+/// Leaves a connection.
+type Leave = fn(Client);
+
 /// For how long a client is gone before an attempt for it could begin.
 const GONE_FOR: Duration = Duration::from_millis(250);
 
@@ -370,7 +373,7 @@
         client.stream.shutdown(Shutdown::Write).expect("could not shut down the sending side");
         std::mem::forget(client);
     };
-    let departures: [(&str, fn(Client)); 3] =
+    let departures: [(&str, Leave); 3] =
         [("close", Client::close), ("reset", Client::reset), ("half-close", shut_down_sending)];
     for (departure, leave) in departures {
         let rejected = |_| http_response("503 Service Unavailable", "X-Turned-Away: 1\r\n", "");
