--- a/client-proxy/src/clients.rs
+++ b/client-proxy/src/clients.rs
@@ -34,7 +34,7 @@
 use crate::request_head::{BadRequest, origin_form, read_metadata, read_remaining};
 use crate::shutdown::Shutdown;
 use crate::socket_budget::SocketBudget;
-use crate::upstream_request::{RequestBody, UpstreamRequest};
+use crate::upstream_request::{AttemptState, RequestBody, UpstreamRequest};
 
 /// The deadline given to the balancer precedes the client's by this much, for the way back and a timer that
 /// fires late.
@@ -360,7 +360,6 @@
     let client_timeout = client_timeout - decision_margin;
     let client = Some(Rc::clone(&conn.stream));
     let (method, uri) = (head.method, origin_form(head.uri));
-    let (avoids_idle, is_unconfirmed) = Default::default();
     let request = UpstreamRequest {
         method,
         uri,
@@ -370,8 +369,7 @@
         sent_after,
         client_timeout,
         client,
-        avoids_idle,
-        is_unconfirmed,
+        attempts: AttemptState::default(),
     };
     if request.streamed_body().is_none() && conn.stream.read_ahead_for_end().is_some() {
         // The client has closed its writing side while its request waited to be read: an attempt would be
--- a/client-proxy/src/clients/response_body.rs
+++ b/client-proxy/src/clients/response_body.rs
@@ -58,8 +58,8 @@
             Poll::Ready(Some(Ok(data))) => forwarder.record_forwarded(data.len()),
             Poll::Ready(_) => {}
             Poll::Pending => {
-                ready!(forwarder.poll_stalled(cx));
-                return Poll::Ready(Some(Err(ResponseError::Stalled)));
+                ready!(forwarder.poll_overdue(cx));
+                return Poll::Ready(Some(Err(ResponseError::Overdue)));
             }
         }
         polled
--- a/client-proxy/src/clients/response_body/tests.rs
+++ b/client-proxy/src/clients/response_body/tests.rs
@@ -100,7 +100,7 @@
         let (start, mut response) = (Instant::now(), response_body(streamed));
         let mut next = async || std::future::poll_fn(|cx| Pin::new(&mut response).poll_frame(cx)).await;
         assert!(matches!(next().await, Some(Ok(_))));
-        assert!(matches!(next().await, Some(Err(ResponseError::Stalled))));
+        assert!(matches!(next().await, Some(Err(ResponseError::Overdue))));
         // Timers have a resolution of a millisecond.
         let took = start.elapsed().as_millis();
         assert!((400..=401).contains(&took), "{took} ms");
--- a/client-proxy/src/endpoint_pool/attempt.rs
+++ b/client-proxy/src/endpoint_pool/attempt.rs
@@ -75,11 +75,13 @@
             return AttemptResult::without_response(Outcome::NeverSent);
         }
         let latest = until.into_iter().chain(request.deadline()).min();
-        let mut conn =
-            match self.acquire_connection(endpoint, location, latest, request.avoids_idle.get()).await {
-                Ok(conn) => conn,
-                Err(outcome) => return AttemptResult::without_response(outcome),
-            };
+        let mut conn = match self
+            .acquire_connection(endpoint, location, latest, request.attempts.avoids_idle.get())
+            .await
+        {
+            Ok(conn) => conn,
+            Err(outcome) => return AttemptResult::without_response(outcome),
+        };
         let (connected, idle_for) = (Instant::now(), conn.idle_for);
         let remaining_ms = request.remaining_ms(until);
         // The endpoint may have been found to drain or restart during the dial, and the dial may have left
@@ -144,7 +146,7 @@
         let failed =
             matches!(result.outcome, Outcome::Reset | Outcome::TimedOut) && stream.first_byte_at().is_none();
         if failed && idle_for >= SUSPECT_IDLE_TIME {
-            request.avoids_idle.set(true);
+            request.attempts.avoids_idle.set(true);
             self.close_idle_since_before(endpoint, connected);
         }
         if request.streamed_body().is_some() {
--- a/client-proxy/src/endpoint_pool/response.rs
+++ b/client-proxy/src/endpoint_pool/response.rs
@@ -64,7 +64,7 @@
     Http(#[from] hyper::Error),
     /// The endpoint stalled, or the response has no end in time.
     #[error("timed out waiting for the end of the response")]
-    Stalled,
+    Overdue,
 }
 
 impl StreamedResponseBody {
--- a/client-proxy/src/monitored_stream.rs
+++ b/client-proxy/src/monitored_stream.rs
@@ -53,7 +53,7 @@
 
 /// A peer of unknown status counts as gone once it was last known to be connected this long ago: no attempt
 /// may begin over 100 ms after a client has closed, and the rest is for a process that is stalled.
-pub const MAX_UNKNOWN_TIME: Duration = Duration::from_millis(50);
+const MAX_UNKNOWN_TIME: Duration = Duration::from_millis(50);
 
 /// Whether a request may still be sent; called just before its first byte is written.
 pub type MayBegin = Box<dyn Fn() -> bool>;
@@ -307,9 +307,10 @@
         }
     }
 
-    /// When the socket buffer was last known to be empty, with no end of the stream.
-    pub fn last_known_connected(&self) -> Instant {
-        self.last_empty.get()
+    /// Whether a peer of unknown status counts as gone: its socket buffer was last known to be empty, with no
+    /// end of the stream, over [`MAX_UNKNOWN_TIME`] ago.
+    pub fn is_unknown_for_too_long(&self) -> bool {
+        self.last_empty.get().elapsed() > MAX_UNKNOWN_TIME
     }
 
     fn is_read_ahead_full(&self) -> bool {
@@ -363,7 +364,7 @@
                 let _ = self.stream.readable().await;
                 // The socket buffer was empty until now: the runtime wakes this task as soon as data arrives.
                 self.last_empty.set(Instant::now());
-            } else if self.last_known_connected().elapsed() > MAX_UNKNOWN_TIME {
+            } else if self.is_unknown_for_too_long() {
                 return HangUp::Closed;
             } else {
                 sleep(READ_AHEAD_RECHECK).await;
--- a/client-proxy/src/response_forwarding.rs
+++ b/client-proxy/src/response_forwarding.rs
@@ -1,7 +1,7 @@
 //! Deadline of the final response. A submitted request has one owner at a time, from its last byte to the
 //! last byte of its response, and one deadline, the client's. Whatever an attempt, the balancer or an order
-//! server does, a final response is sent by that deadline, and a response that has begun and then stalls is
-//! truncated by it too.
+//! server does, a final response is sent by that deadline, and a short response that has begun is truncated
+//! if it has no end shortly after it.
 
 use std::pin::Pin;
 use std::rc::Rc;
@@ -15,8 +15,8 @@
 use crate::upstream_request::{ClientDeadline, UpstreamRequest};
 
 /// How long the next chunk of a response may be delayed past the client's deadline while the response may
-/// still be a short one. Three times the longest pause observed in the first 64 KiB from healthy endpoints,
-/// and within the 500 ms after which a request without an end counts as lost.
+/// still be a short one. Longer than the pauses of healthy endpoints, and within the 500 ms after which a
+/// request without an end counts as lost.
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a short response is waited for past the client's deadline, all its chunks together. Without an
 /// end 500 ms after the deadline, or 550 ms on a real network, the request counts as lost; 150 ms of that are
@@ -91,8 +91,8 @@
         }
     }
 
-    /// Called while the next chunk is pending; ready once it is overdue.
-    pub fn poll_stalled(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    /// Called while the next chunk is pending; ready once it or the response is overdue.
+    pub fn poll_overdue(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
         let is_long = self.length.unwrap_or(self.forwarded) > MAX_BUFFERED_BODY as u64;
         let stalled_at = waiting_since + STALL_TIMEOUT;
--- a/client-proxy/src/response_forwarding/tests.rs
+++ b/client-proxy/src/response_forwarding/tests.rs
@@ -20,10 +20,10 @@
         };
         let mut forwarder = ResponseForwarder::new(deadline, length);
         // A wait before the first bytes does not count against later ones.
-        std::future::poll_fn(|cx| Poll::Ready(forwarder.poll_stalled(cx).is_pending())).await;
+        std::future::poll_fn(|cx| Poll::Ready(forwarder.poll_overdue(cx).is_pending())).await;
         tokio::time::advance(arrived_after).await;
         forwarder.record_forwarded(forwarded_bytes);
-        std::future::poll_fn(|cx| forwarder.poll_stalled(cx)).await;
+        std::future::poll_fn(|cx| forwarder.poll_overdue(cx)).await;
         // Timers have a resolution of a millisecond.
         Duration::from_millis(start.elapsed().as_millis() as u64)
     })
@@ -74,7 +74,7 @@
         for _ in 0..most_bytes / self.bytes {
             tokio::select! {
                 biased;
-                _ = std::future::poll_fn(|cx| forwarder.poll_stalled(cx)) => return Some(start.elapsed()),
+                _ = std::future::poll_fn(|cx| forwarder.poll_overdue(cx)) => return Some(start.elapsed()),
                 _ = sleep_until(next) => forwarder.record_forwarded(self.bytes),
             }
             next += self.interval;
@@ -153,7 +153,7 @@
         for _ in 0..10 {
             // Not polled while the client accepts nothing; then the next chunk needs a moment.
             sleep(Duration::from_millis(300)).await;
-            let is_waiting = std::future::poll_fn(|cx| Poll::Ready(forwarder.poll_stalled(cx).is_pending()));
+            let is_waiting = std::future::poll_fn(|cx| Poll::Ready(forwarder.poll_overdue(cx).is_pending()));
             assert!(is_waiting.await, "after {} bytes", forwarder.forwarded);
             sleep(Duration::from_millis(1)).await;
             forwarder.record_forwarded(16);
--- a/client-proxy/src/upstream_request.rs
+++ b/client-proxy/src/upstream_request.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, Uri};
 use tokio::time::{Instant, sleep_until};
 
-use crate::monitored_stream::{HangUp, MAX_UNKNOWN_TIME, MonitoredStream, PeerStatus};
+use crate::monitored_stream::{HangUp, MonitoredStream, PeerStatus};
 use crate::request_body::{BodyError, CHUNK_SIZE, Payload, StreamedRequestBody};
 use crate::request_end::{RequestEnd, Unread};
 
@@ -87,11 +87,18 @@
     pub client_timeout: Duration,
     /// Connection of the client.
     pub client: Option<Rc<MonitoredStream>>,
-    /// An attempt of this request failed without a response byte on a connection that had been idle for
-    /// longer than endpoints surely keep one.
+    /// What has been learned by the attempts so far.
+    pub attempts: AttemptState,
+}
+
+/// What the attempts of a request have shown, for the rest of the newest one and for the next.
+#[derive(Default)]
+pub struct AttemptState {
+    /// One failed without a response byte on a connection that had been idle for longer than endpoints surely
+    /// keep one.
     pub avoids_idle: Cell<bool>,
-    /// The newest attempt began in the middle of the body, and the client may have left long before.
-    pub is_unconfirmed: Cell<bool>,
+    /// The newest one began in the middle of the body, and the client may have left long before.
+    is_unconfirmed: Cell<bool>,
 }
 
 impl UpstreamRequest {
@@ -108,8 +115,7 @@
             sent_after: Instant::now(),
             client_timeout,
             client: None,
-            avoids_idle: Cell::default(),
-            is_unconfirmed: Cell::default(),
+            attempts: AttemptState::default(),
         }
     }
 
@@ -163,9 +169,10 @@
         }
     }
 
-    /// Whether an attempt may begin now: the client is connected and has time left.
+    /// Whether an attempt may begin now: the client is connected and has time left. To be called right before
+    /// its first byte is written.
     pub fn may_begin(&self) -> bool {
-        self.is_unconfirmed.set(false);
+        self.attempts.is_unconfirmed.set(false);
         self.deadline().is_none_or(|deadline| Instant::now() < deadline) && self.check_client()
     }
 
@@ -176,12 +183,12 @@
         match client.query_status() {
             PeerStatus::Connected => true,
             PeerStatus::HungUp(_) => false,
-            PeerStatus::Unknown if client.last_known_connected().elapsed() <= MAX_UNKNOWN_TIME => true,
+            PeerStatus::Unknown if !client.is_unknown_for_too_long() => true,
             PeerStatus::Unknown => {
                 // The end of the stream may be behind a long body, and is not visible before that has been
                 // read. The attempt begins, and this is checked again before its last byte.
                 let is_incomplete = self.streamed_body().is_some_and(|body| body.completed_at().is_none());
-                self.is_unconfirmed.set(is_incomplete);
+                self.attempts.is_unconfirmed.set(is_incomplete);
                 is_incomplete
             }
         }
@@ -190,7 +197,7 @@
     /// Whether the newest attempt must not be completed, since its client may have left long before it
     /// began. To be called when the complete body has been read.
     fn is_still_unconfirmed(&self) -> bool {
-        self.is_unconfirmed.get()
+        self.attempts.is_unconfirmed.get()
             && self.client.as_ref().is_some_and(|client| client.query_status() != PeerStatus::Connected)
     }
 
