Share what the tests of disconnects had twice, and give hidden ones a file of their own

Change: common/departures.rs has both, common/bodies.rs the endpoints for long bodies, and hidden_disconnects.rs the tests of a full socket buffer. Assertions and bounds are the same.

--- a/client-proxy/tests/client_disconnects.rs
+++ b/client-proxy/tests/client_disconnects.rs
@@ -5,10 +5,9 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
-use std::sync::Mutex;
-use std::sync::mpsc::{Sender, channel};
-use std::time::Duration;
+use std::sync::mpsc::channel;
 
+use common::departures::*;
 use common::*;
 use serde_json::json;
 
@@ -42,35 +41,6 @@
     }
 }
 
-/// Writes as much as the system takes. What lies behind it in the stream does not reach the client proxy.
-fn fill_buffers(client: &mut Client) {
-    let flood = look_request(3000).repeat(10_000);
-    let socket = socket2::SockRef::from(&client.stream);
-    // Bounds what the system takes.
-    socket.set_send_buffer_size(256 * 1024).expect("could not set the buffer size");
-    client.stream.set_nonblocking(true).expect("could not make the socket non-blocking");
-    let mut is_full = false;
-    while !is_full {
-        is_full = client.stream.write(flood.as_bytes()).is_err();
-    }
-    client.stream.set_nonblocking(false).expect("could not make the socket blocking");
-}
-
-/// An upstream that sends one response for each use of the sender.
-fn gated_upstream(response: fn(usize) -> String) -> (Upstream, Sender<()>) {
-    let (go, gate) = channel::<()>();
-    let gate = Mutex::new(gate);
-    let upstream = Upstream::start(move |n| {
-        let _ = gate.lock().expect("another thread panicked").recv();
-        Reply::Send(response(n))
-    });
-    (upstream, go)
-}
-
-fn http_ok(_: usize) -> String {
-    http_response("200 OK", "", "fine")
-}
-
 /// A burst of requests waits for an upstream, and all clients disconnect before one is listed. Sending
 /// their requests then would be work for nobody.
 #[test]
@@ -87,13 +57,8 @@
         burst.into_iter().for_each(|client| leave(client, departure));
         discovery_server.publish(json!([endpoint("h", upstream.address, "SERVING")]), true);
         discovery_server.wait_until_list_received();
-        // Requests that wait for an upstream are retried every 100 ms.
-        let mut client = proxy.client();
-        for _ in 0..15 {
-            assert_eq!(client.round_trip(&look_request(3000)).status(), 200);
-            std::thread::sleep(Duration::from_millis(20));
-        }
-        assert_eq!(upstream.take_request_count(), 15, "{departure:?}");
+        serve_past_retry_interval(&proxy);
+        assert_eq!(upstream.take_request_count(), REQUESTS_PAST_RETRY_INTERVAL, "{departure:?}");
     }
 }
 
@@ -120,28 +85,11 @@
 #[test]
 fn no_retry_after_client_disconnects() {
     for departure in DEPARTURES {
-        let rejected = |_| http_response("503 Service Unavailable", "X-Turned-Away: 1\r\n", "");
-        let ((one, release_one), (two, release_two)) = (gated_upstream(rejected), gated_upstream(rejected));
-        let (proxy, _discovery) = Proxy::with_upstreams(&[&one, &two]);
-        let mut client = proxy.client();
-        client.write(&post("pay", 15_000, "", ""));
-        let has_request = |upstream: &Upstream| matches!(upstream.events.try_recv(), Ok(Event::Request(..)));
-        while !has_request(&one) && !has_request(&two) {
-            std::thread::yield_now();
-        }
-        leave(client, departure);
-        wait_until_processed(&proxy);
-        for go in [&release_one, &release_two] {
-            for _ in 0..4 {
-                go.send(()).expect("the upstream thread has ended");
-            }
-        }
-        // Once another request has been answered, the response to the first, or its cancellation, has been
-        // processed.
-        assert_eq!(proxy.client().round_trip(&post("pay", 15_000, "", "")).status(), 503);
-        let others = [&one, &two].map(common::Upstream::take_request_count);
-        // These are the attempts of the other request, which both upstreams reject: three at most.
-        assert!(others[0] + others[1] <= 3, "{departure:?}: {others:?}");
+        let attempts = attempts_after_departure(|proxy, client| {
+            leave(client, departure);
+            wait_until_processed(proxy);
+        });
+        assert!(attempts.iter().sum::<usize>() <= MAX_ATTEMPTS, "{departure:?}: {attempts:?}");
     }
 }
 
@@ -231,11 +179,7 @@
         wait_until_processed(&proxy);
         discovery_server.publish(json!([endpoint("h", address, "SERVING")]), true);
         discovery_server.wait_until_list_received();
-        let mut client = proxy.client();
-        for _ in 0..15 {
-            assert_eq!(client.round_trip(&look_request(3000)).status(), 200);
-            std::thread::sleep(Duration::from_millis(20));
-        }
+        serve_past_retry_interval(&proxy);
         assert!(received.try_iter().all(|bytes| &bytes == b"GET "), "reset {reset}");
     }
 }
@@ -358,86 +302,3 @@
         assert!(!heads.try_iter().any(|head| head.contains("x-mark: leaving")), "{departure:?}");
     }
 }
-
-/// Leaves a connection.
-type Leave = fn(Client);
-
-/// For how long a client is gone before an attempt for it could begin.
-const GONE_FOR: Duration = Duration::from_millis(250);
-
-/// Guards against a retry for a client that has left behind more than all buffers hold, so that its end of
-/// the stream does not arrive.
-#[test]
-fn hidden_disconnect_prevents_retry() {
-    let shut_down_sending = |client: Client| {
-        client.stream.shutdown(Shutdown::Write).expect("could not shut down the sending side");
-        std::mem::forget(client);
-    };
-    let departures: [(&str, Leave); 3] =
-        [("close", Client::close), ("reset", Client::reset), ("half-close", shut_down_sending)];
-    for (departure, leave) in departures {
-        let rejected = |_| http_response("503 Service Unavailable", "X-Turned-Away: 1\r\n", "");
-        let ((one, release_one), (two, release_two)) = (gated_upstream(rejected), gated_upstream(rejected));
-        let (proxy, _discovery) = Proxy::with_upstreams(&[&one, &two]);
-        let mut client = proxy.client();
-        client.write(&post("pay", 15_000, "", ""));
-        let has_request = |upstream: &Upstream| matches!(upstream.events.try_recv(), Ok(Event::Request(..)));
-        while !has_request(&one) && !has_request(&two) {
-            std::thread::yield_now();
-        }
-        fill_buffers(&mut client);
-        leave(client);
-        std::thread::sleep(GONE_FOR);
-        for go in [&release_one, &release_two] {
-            for _ in 0..4 {
-                go.send(()).expect("the upstream thread has ended");
-            }
-        }
-        // Once another request has been answered, the rejection of the first has been processed.
-        assert_eq!(proxy.client().round_trip(&post("pay", 15_000, "", "")).status(), 503);
-        let others = [&one, &two].map(common::Upstream::take_request_count);
-        // These are the attempts of the other request, which both upstreams reject: three at most.
-        assert!(others[0] + others[1] <= 3, "{departure}: {others:?}");
-    }
-}
-
-/// Guards against an attempt of a long request whose client has left long before: the end of the stream is
-/// only visible behind the complete body. A client that waits must get its response.
-#[test]
-fn hidden_disconnect_behind_long_body_prevents_attempt() {
-    const BODY_BYTES: usize = 1 << 20;
-    let body = "x".repeat(BODY_BYTES);
-    let with_length = post("pay", 15_000, "", &body);
-    let chunked = post("pay", 15_000, "", "").replace("Content-Length: 0", "Transfer-Encoding: chunked")
-        + &format!("{BODY_BYTES:x}\r\n{body}\r\n0\r\n\r\n");
-    for (request, is_gone) in
-        [(&with_length, true), (&with_length, false), (&chunked, true), (&chunked, false)]
-    {
-        let upstream = Upstream::start(|n| Reply::Send(http_ok(n)));
-        let discovery_server = DiscoveryServer::start(json!([]));
-        let proxy = Proxy::start(&config(discovery_server.address, settings()));
-        discovery_server.wait_until_list_received();
-        let mut client = proxy.client();
-        client.stream.set_write_timeout(Some(TEST_TIMEOUT)).expect("could not set the write timeout");
-        client.write(request);
-        let mut client = Some(client);
-        if is_gone {
-            client.take().into_iter().for_each(Client::close);
-        }
-        std::thread::sleep(GONE_FOR);
-        discovery_server.publish(json!([endpoint("h", upstream.address, "SERVING")]), true);
-        discovery_server.wait_until_list_received();
-        if let Some(client) = &mut client {
-            assert_eq!(client.read().expect("no response").status(), 200);
-            assert_eq!(upstream.take_request_count(), 1);
-        } else {
-            // Requests that wait for an upstream are retried every 100 ms.
-            let mut other = proxy.client();
-            for _ in 0..15 {
-                assert_eq!(other.round_trip(&look_request(3000)).status(), 200);
-                std::thread::sleep(Duration::from_millis(20));
-            }
-            assert_eq!(upstream.take_request_count(), 15, "an attempt for a client that had left");
-        }
-    }
-}
--- a/client-proxy/tests/common/mod.rs
+++ b/client-proxy/tests/common/mod.rs
@@ -3,6 +3,8 @@
 //! timeout only ends a test that would otherwise hang.
 #![allow(dead_code, unused_imports)] // each test binary uses only some of the helpers
 
+pub mod bodies;
+pub mod departures;
 pub mod faults;
 
 mod client;
