--- a/client-proxy/tests/common/faults.rs
+++ b/client-proxy/tests/common/faults.rs
@@ -174,3 +174,7 @@
 pub fn healthy_upstream() -> Upstream {
     Upstream::start(|_| Reply::Send(http_response("200 OK", "", "yes")))
 }
+
+/// Errors of `connect` or `socket` that have a local cause and say nothing about the endpoint.
+pub const LOCAL_ERRORS: [&str; 9] =
+    ["EADDRNOTAVAIL", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "ENETUNREACH", "EPERM", "EAGAIN", "EINTR"];
