Take the zoned simulation and the tracked requests out of two test files

Change: common/zoned_simulation.rs and common/tracked_request.rs; moved as they were.

Measured: all tests pass, by the same names.

--- a/balancer/tests/common/mod.rs
+++ b/balancer/tests/common/mod.rs
@@ -3,8 +3,11 @@
 
 pub mod fleet;
 mod harness;
+mod tracked_request;
+pub mod zoned_simulation;
 
 pub use harness::*;
+pub use tracked_request::*;
 
 use balancer::*;
 
