--- a/discovery-relay/src/catalog/tests.rs
+++ b/discovery-relay/src/catalog/tests.rs
@@ -1,6 +1,10 @@
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 
+use discovery_proto::EndpointListError;
+use serde_json::Value;
+
+use super::entry::MAX_ENTRY_LENGTH;
 use super::*;
 
 const TOMBSTONE_RETENTION: TombstoneRetention =
--- a/simulator-adapter/src/adapter.rs
+++ b/simulator-adapter/src/adapter.rs
@@ -6,13 +6,14 @@
 use std::rc::Rc;
 
 use balancer::{
-    Action, AttemptEnd, Balancer, EndpointEntry, EndpointId, EndpointState, EndpointUpdate, Event,
-    LoadReport, NewRequest, Outcome, RequestId, RequestMetadata,
+    Action, AttemptEnd, Balancer, EndpointEntry, EndpointId, EndpointUpdate, Event, NewRequest, RequestId,
+    RequestMetadata,
 };
 use thiserror::Error;
 
+use crate::conversion::{convert_entry, convert_load_report, convert_outcome, from_hex, to_hex};
 use crate::settings::convert_settings;
-use crate::wire::{Incoming, ListEntry, ListEntryState, Metrics, Outgoing, Recipient, UpdateKind};
+use crate::wire::{Incoming, Outgoing, Recipient, UpdateKind};
 
 /// An error that ends the adapter.
 #[derive(Debug, Error)]
@@ -347,59 +348,5 @@
     }
 }
 
-/// Converts the status code of an attempt or probe in the protocol.
-fn convert_outcome(status_code: i64) -> Outcome {
-    match status_code {
-        0 => Outcome::Served,
-        13 => Outcome::Error,
-        8 => Outcome::Rejected,
-        4 => Outcome::TimedOut,
-        14 => Outcome::ConnectFailed,
-        10 => Outcome::Reset,
-        1 => Outcome::Cancelled,
-        9 => Outcome::NeverSent,
-        _ => Outcome::Unknown,
-    }
-}
-
-/// Converts a load report to the balancer's form.
-pub fn convert_load_report(metrics: &Metrics) -> LoadReport {
-    LoadReport {
-        outstanding: metrics.outstanding,
-        backlog: metrics.backlog,
-        utilization: metrics.utilization,
-        recent_ms: metrics.recent_ms,
-        throughput: metrics.throughput,
-        errors_per_s: metrics.errors_per_s,
-    }
-}
-
-fn convert_entry(entry: &ListEntry) -> EndpointEntry {
-    EndpointEntry {
-        endpoint: EndpointId(entry.endpoint),
-        zone: entry.zone,
-        kind: entry.kind,
-        cell: entry.cell,
-        weight: entry.weight,
-        started_at: (entry.started_at > 0.0).then_some(entry.started_at),
-        state: match entry.state {
-            ListEntryState::Up => EndpointState::Up,
-            ListEntryState::Draining => EndpointState::Draining,
-            ListEntryState::Removed => EndpointState::Removed,
-        },
-    }
-}
-
-fn to_hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn from_hex(text: &str) -> Option<Vec<u8>> {
-    if !text.bytes().all(|byte| byte.is_ascii_hexdigit()) || !text.len().is_multiple_of(2) {
-        return None;
-    }
-    (0..text.len()).step_by(2).map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok()).collect()
-}
-
 #[cfg(test)]
 mod tests;
--- a/simulator-adapter/src/lib.rs
+++ b/simulator-adapter/src/lib.rs
@@ -3,9 +3,11 @@
 #![forbid(unsafe_code)]
 
 mod adapter;
+mod conversion;
 mod settings;
 mod wire;
 
-pub use adapter::{AdapterError, convert_load_report, run};
+pub use adapter::{AdapterError, run};
+pub use conversion::convert_load_report;
 pub use settings::{WireSettings, convert_settings};
 pub use wire::Metrics;
