--- a/testbed/src/clients.rs
+++ b/testbed/src/clients.rs
@@ -18,8 +18,9 @@
 
 use crate::chance::{exponential, stream, uniform};
 use crate::ledger::{self, Ending, Rule, Txn};
+use crate::run_context::RunContext;
 use crate::scenario::{Class, Load, Scenario, Scope, Semantics};
-use crate::servers::{RunContext, body_of};
+use crate::servers::body_of;
 use crate::station::Seconds;
 
 /// Minimum work of a request as a share of its mean; the rest is drawn from an exponential distribution.
--- a/testbed/src/discovery.rs
+++ b/testbed/src/discovery.rs
@@ -22,8 +22,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::link::{Link, LinkListener};
+use crate::run_context::RunContext;
 use crate::scenario::{DiscoverySettings, Lie};
-use crate::servers::{RunContext, Server};
+use crate::servers::Server;
 use crate::station::Seconds;
 
 /// Interval at which a waiting watch checks whether a version that is served late has become due.
--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -1,10 +1,15 @@
 //! The client proxies of a run: processes of the real program, started as the platform starts them.
 
+mod config;
+mod probe;
+
+pub use self::config::peer_address;
+
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::fs;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -16,15 +21,16 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use thiserror::Error;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
+use self::config::{address, config, fleet_file};
+use self::probe::{exchange, is_ready, listen, ping};
 use crate::chance::uniform;
 use crate::datagrams::Datagrams;
-use crate::scenario::{Scenario, Scope, Semantics, StateFolder};
+use crate::scenario::{Scenario, StateFolder};
 
 /// Upper bound on the start of a client proxy; beyond it the process counts as hanging.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
@@ -36,8 +42,6 @@
 const LOG_LINES: usize = 20;
 /// Port for clients; the operators' port of the nth process is `PORT + n`.
 const PORT: u16 = 5000;
-/// Port for peers, which reach it through the testbed's simulated datagram network.
-const PEER_PORT: u16 = 4900;
 /// Minimum interval over which `busiest` is measured.
 const USAGE_WINDOW: Duration = Duration::from_secs(1);
 
@@ -90,86 +94,6 @@
     starts: Cell<u16>,
 }
 
-/// Loopback address of a client proxy. It depends on the testbed's process id, so that concurrent runs don't
-/// collide.
-fn address(number: usize) -> SocketAddr {
-    let process = std::process::id();
-    let [_, _, high, low] = process.to_be_bytes();
-    SocketAddr::from((Ipv4Addr::new(127, 64 | (high & 63), low, 1 + number as u8), PORT))
-}
-
-/// The configuration that the platform gives a client proxy (`config.json`).
-fn config(scenario: &Scenario, number: usize, discovery: SocketAddr, seed: u64) -> Value {
-    let ms = |time: Duration| time.as_secs_f64() * 1e3;
-    let semantics = |semantics| match semantics {
-        Semantics::Safe => "safe",
-        Semantics::Keyed => "keyed",
-        Semantics::Unsafe => "unsafe",
-    };
-    let scope = |scope| match scope {
-        Scope::All => "all",
-        Scope::Zone => "zone",
-        Scope::Cell => "cell",
-    };
-    let class = |c: &crate::scenario::Class| {
-        json!({"name": c.name, "aim": ms(c.latency_objective), "hardLimit": ms(c.client_timeout),
-               "semantics": semantics(c.semantics),
-               "keyScope": scope(c.scope), "keyTtl": ms(c.key_ttl), "lateWorth": 0.0,
-               "points": c.priority_weight, "streamed": false})
-    };
-    let Scenario { fleet, contract, .. } = scenario;
-    let zones: Vec<&String> = scenario.zone.iter().map(|zone| &zone.name).collect();
-    json!({
-        "name": format!("n{number}"), "listen": address(number).to_string(),
-        "discovery": discovery.to_string(),
-        "seed": format!("{:x}", seed.wrapping_mul(1_000_003) + number as u64),
-        "limits": {"cores": fleet.cores, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets},
-        "settings": {
-            "me": number, "balancers": fleet.proxies,
-            "callers": {"marksRetry": scenario.load.sends_resent_header},
-            "classes": scenario.class.iter().map(class).collect::<Vec<_>>(),
-            "contract": {"cold": ms(contract.warm_up_duration), "coldFrom": contract.initial_capacity_share,
-                         "drainGrace": ms(contract.drain_grace), "fall": ms(contract.overload_window),
-                         "fallMultiple": contract.overload_multiple, "graceToAnswer": 16.0},
-            "customers": [], "discovery": "automatic",
-            "kinds": scenario.kind.iter().map(|kind| &kind.name).collect::<Vec<_>>(),
-            "zones": zones, "zone": number % zones.len(), "tick": 4.0,
-            "limits": {"attemptsCap": 3, "cancelling": true, "connIdle": 10000.0, "dialTimeout": 100.0,
-                       "maxRetryAfter": 1200.0, "retryAfter": true, "secondCopies": false},
-            "report": {"fields": ["utilization"], "how": "answers"}
-        }
-    })
-}
-
-/// The address on which a client proxy binds its socket for peers.
-pub fn peer_address(number: usize) -> SocketAddr {
-    SocketAddr::new(address(number).ip(), PEER_PORT)
-}
-
-/// The second configuration file of a client proxy (`fleet.toml`).
-fn fleet_file(scenario: &Scenario, number: usize, peers: Option<&Datagrams>) -> io::Result<toml::Table> {
-    let mut parts = scenario.fleet.parts.clone();
-    if let Some(toml::Value::Table(zones)) = parts.get_mut("zones") {
-        let own = &scenario.zone[number % scenario.zone.len()].name;
-        zones.entry("own").or_insert_with(|| own.clone().into());
-    }
-    if let (Some(toml::Value::Table(membership)), Some(peers)) = (parts.get_mut("membership"), peers) {
-        let others = (0..scenario.fleet.proxies).filter(|other| *other != number);
-        let seeds: io::Result<Vec<toml::Value>> =
-            others.map(|other| Ok(peers.address(other)?.to_string().into())).collect();
-        let own = peers.address(number)?.to_string();
-        let own_settings: [(&str, toml::Value); 3] = [
-            ("listen", peer_address(number).to_string().into()),
-            ("advertise", own.into()),
-            ("seeds", seeds?.into()),
-        ];
-        for (key, value) in own_settings {
-            membership.entry(key).or_insert(value);
-        }
-    }
-    Ok(parts)
-}
-
 impl Proxy {
     /// Creates a client proxy, not yet started, that polls `discovery`. Its files are in a folder of its own
     /// below `dir`.
@@ -443,31 +367,3 @@
         *self.usage.borrow()
     }
 }
-
-/// Opens the listening socket that a client proxy inherits.
-fn listen(address: SocketAddr) -> io::Result<std::net::TcpListener> {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(1024)?;
-    Ok(socket.into())
-}
-
-/// Whether the process with this operators' address is ready.
-async fn ping(admin_address: SocketAddr) -> io::Result<bool> {
-    Ok(exchange(admin_address, "PING\n").await?.starts_with("+OK"))
-}
-
-async fn is_ready(address: SocketAddr) -> io::Result<bool> {
-    let request = "GET /ready HTTP/1.1\r\nHost: origin.svc\r\nConnection: close\r\n\r\n";
-    Ok(exchange(address, request).await?.starts_with("HTTP/1.1 200"))
-}
-
-/// Sends `call` on a new connection and reads the response until the peer closes it.
-async fn exchange(address: SocketAddr, request: &str) -> io::Result<String> {
-    let mut stream = TcpStream::connect(address).await?;
-    stream.write_all(request.as_bytes()).await?;
-    let mut response = String::new();
-    stream.read_to_string(&mut response).await?;
-    Ok(response)
-}
--- a/testbed/src/link/tests.rs
+++ b/testbed/src/link/tests.rs
@@ -1,4 +1,8 @@
+use std::io;
+
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use super::*;
--- a/testbed/src/run.rs
+++ b/testbed/src/run.rs
@@ -24,8 +24,9 @@
 use crate::fleet::{FleetError, Proxy, Usage, peer_address};
 use crate::ledger::{Figures, Ledger, Rule, Second, ServedStats};
 use crate::link::Link;
+use crate::run_context::RunContext;
 use crate::scenario::{Expect, Scenario};
-use crate::servers::{RunContext, Server, Traits};
+use crate::servers::{Server, Traits};
 use crate::station::ServerSpec;
 
 /// Time between readiness of all client proxies and the start of the load.
--- a/testbed/src/scale.rs
+++ b/testbed/src/scale.rs
@@ -10,6 +10,7 @@
 pub mod relay;
 pub mod report;
 pub mod timeline;
+pub mod usage;
 pub mod virtual_fleet;
 pub mod watchers;
 
--- a/testbed/src/scale/hollow.rs
+++ b/testbed/src/scale/hollow.rs
@@ -4,7 +4,6 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::fs;
 use std::rc::Rc;
 
 use balancer::{Action, Balancer, EndpointId, EndpointUpdate, Event, Locality, Millis, Settings};
@@ -14,11 +13,11 @@
 };
 use rand_core::Rng;
 use rand_pcg::Pcg32;
-use rustix::time::{ClockId, clock_gettime};
 use serde_json::json;
 use simulator_adapter::{WireSettings, convert_settings};
 
 use super::law::{ENDPOINTS, ZONE_REGIONS};
+use super::usage::{resident_memory_kb, thread_cpu_us};
 use super::{Options, Point, Run, ScaleError};
 use crate::chance;
 
@@ -248,23 +247,6 @@
     format!(r#"{{"index":{index},"snapshot":{full_snapshot},"endpoints":[{}]}}"#, entries.join(","))
 }
 
-/// CPU time of this thread, in microseconds.
-pub fn thread_cpu_us() -> f64 {
-    let time = clock_gettime(ClockId::ThreadCPUTime);
-    time.tv_sec as f64 * 1e6 + time.tv_nsec as f64 / 1e3
-}
-
-/// Resident memory of this process, in KiB.
-///
-/// # Errors
-/// If `/proc/self/status` cannot be read or has no `VmRSS`.
-pub fn resident_memory_kb() -> Result<f64, ScaleError> {
-    let status = fs::read_to_string("/proc/self/status")?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let number = line.and_then(|line| line.trim().strip_suffix(" kB")?.trim().parse().ok());
-    number.ok_or_else(|| ScaleError::SetUp("/proc/self/status has no VmRSS in kB".to_owned()))
-}
-
 /// Endpoints in the list, from a small client proxy to one that receives the whole fleet; 9,350 are the 20
 /// largest services.
 const AXIS: [u32; 7] = [200, 340, 1_000, 3_400, 9_350, 18_000, ENDPOINTS];
--- a/testbed/src/scale/virtual_fleet/tests.rs
+++ b/testbed/src/scale/virtual_fleet/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::chance;
 
 fn fleet(watchers: u32, service_time: Millis) -> Fleet {
     let mut fleet =
