--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -42,7 +42,8 @@
 /// Runs a case: `play` returns whether the rule held, or why the case could not be played.
 pub fn run(play: impl FnOnce() -> Result<bool, String>) -> ! {
     let record = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".to_owned());
-    let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+    // The script makes the folder, ends what is left of the processes listed there, and removes it.
+    let folder = std::env::var("CASE_TMP").map_or_else(|_| std::env::temp_dir(), PathBuf::from);
     let started = Instant::now();
     let made = std::fs::create_dir_all(&folder).and_then(|()| File::create(&record));
     let Ok(record) = made else {
@@ -82,9 +83,6 @@
     for pid in CHILDREN.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).drain(..) {
         let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -KILL {pid} 2>/dev/null")).status();
     }
-    if let Some(case) = CASE.get() {
-        let _ = std::fs::remove_dir_all(&case.folder);
-    }
     std::process::exit(code)
 }
 
@@ -516,6 +514,10 @@
 // ---------------------------------------------------------------------------------------------------------
 // The client proxy
 
+/// Seed of the first client proxy that a case starts; each start has a new one.
+const FIRST_SEED: u64 = 0x8c1f_30d2_7a5b_e900;
+static STARTS: AtomicU64 = AtomicU64::new(0);
+
 pub const CONN_IDLE_MS: u64 = 30_000;
 
 /// What a case sets; the rest of the settings is that of the example in WIRE.
@@ -570,15 +572,12 @@
         let deploy = std::fs::read_to_string(root.join("deploy/balancer.toml")).expect("no deploy file");
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = \""));
         let run = run.and_then(|rest| rest.split('"').next()).expect("the deploy file has no run command");
-        let nanos = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        let seed = nanos.expect("clock").as_nanos() as u64;
+        let seed = FIRST_SEED + STARTS.fetch_add(1, Ordering::Relaxed);
         let folder = case().folder.join(format!("start-{}", now_ms() as u64));
         std::fs::create_dir_all(&folder).expect("temporary folder");
         let config_path = folder.join("config.json");
         std::fs::write(&config_path, config.json(address, seed)).expect("config");
-        let log = File::options().create(true).append(true).open(
-            std::env::var("RECORD").map(|record| format!("{record}.log")).unwrap_or_else(|_| "log".into()),
-        );
+        let log = File::options().create(true).append(true).open(case().folder.join("client-proxy.log"));
         let log = log.expect("log");
         let child = Command::new("/bin/sh")
             .arg("-c")
@@ -598,6 +597,8 @@
             .spawn()
             .expect("the client proxy does not start");
         CHILDREN.lock().expect("lock").push(child.id());
+        let list = File::options().create(true).append(true).open(case().folder.join("processes"));
+        writeln!(list.expect("list of processes"), "{}", child.id()).expect("list of processes");
         note(&format!("client proxy started at {address}: {run}"));
         Proxy { address, config_path, config, child }
     }
@@ -618,7 +619,7 @@
     pub fn reload(&mut self, discovery: SocketAddr) {
         self.config.discovery = discovery;
         let replacement = self.config_path.with_extension("new");
-        std::fs::write(&replacement, self.config.json(self.address, 1)).expect("config");
+        std::fs::write(&replacement, self.config.json(self.address, FIRST_SEED)).expect("config");
         std::fs::rename(&replacement, &self.config_path).expect("config");
         note(&format!("platform: new configuration, discovery at {discovery}; SIGHUP"));
         self.signal("HUP");
