Review cases: give the client proxy a loopback address of its own

Need: a port of 127.0.0.1 could be taken by another connection between two starts of the client proxy.

Change: it listens on 127.0.0.2, on a free port.

--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -562,7 +562,10 @@
 impl Proxy {
     /// Starts the client proxy with the deploy file's command, on a free port.
     pub fn start(config: ProxyConfig) -> Proxy {
-        let address = local(&listener());
+        // An address that no connection to or from 127.0.0.1 can take, so that it is still free at a restart.
+        let free = TcpListener::bind("127.0.0.2:0").expect("no free loopback port");
+        let address = local(&free);
+        drop(free);
         Proxy::start_at(address, config)
     }
 
