--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -3,8 +3,8 @@
 #[path = "../stand_ins_2.rs"]
 mod stand_ins;
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -125,7 +125,9 @@
         answer.as_ref().map_or((0, false, 0), |answer| (answer.status(), answer.complete, answer.body.len()));
     note(&format!("client: {id}: {status}, whole: {is_whole}, {length} bytes, {took:.0} ms"));
     if took > REMAINING_MS as f64 + GRACE_MS {
-        note(&format!("LOST {id}: its time was {REMAINING_MS} ms, and {took:.0} ms after it was sent it had no end"));
+        note(&format!(
+            "LOST {id}: its time was {REMAINING_MS} ms, and {took:.0} ms after it was sent it had no end"
+        ));
         End::Lost
     } else if is_whole {
         End::Whole
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -72,7 +72,10 @@
         if proxy.has_ended() {
             return Err("the client proxy ended".to_owned());
         }
-        note(&format!("CHECK answers of {} bytes: whole {whole}, cut off {cut}, other {other}", PIECE * PIECES));
+        note(&format!(
+            "CHECK answers of {} bytes: whole {whole}, cut off {cut}, other {other}",
+            PIECE * PIECES
+        ));
         if whole + cut == 0 {
             return Err("no answer was begun".to_owned());
         }
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -21,7 +21,13 @@
             (0..6).map(|n| order_server(&format!("s-{n}"), &log, answers_after(40))).collect();
         let discovery = Discovery::new(&servers);
         let (address, _door) = discovery.open();
-        let config = |known| ProxyConfig { discovery: address, discovery_mode: "automatic", known, sockets: 256, memory_mb: 96 };
+        let config = |known| ProxyConfig {
+            discovery: address,
+            discovery_mode: "automatic",
+            known,
+            sockets: 256,
+            memory_mb: 96,
+        };
         let mut first = Proxy::start(config(discovery.whole()));
         first.wait_ready()?;
         let listen = first.address;
--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -480,9 +480,7 @@
         }
         let body = match after {
             None => list_json(list.0, true, list.1.iter()),
-            Some(after) => {
-                list_json(list.0, false, list.1.iter().filter(|entry| entry.changed_at > after))
-            }
+            Some(after) => list_json(list.0, false, list.1.iter().filter(|entry| entry.changed_at > after)),
         };
         let index = list.0;
         drop(list);
