Judge a late response of unknown length by its pace without its largest burst

What callers saw: an order server responded without a length in 16 bytes each 200 ms, and once, after the client's deadline, in 56 KiB.

Cause: past the limit of 400 ms after the deadline, ResponseForwarder went on while the average rate since the deadline would take the response over 64 KiB within 2 s. After a burst that leaves 8 KiB the average says so for 14 s more (2 s x 56 / 8), and a few bytes now and then kept the wait for the next chunk from expiring.

Ruled out: the limit itself (the same response without the burst ended in time), and time in which the client accepts nothing (the client reads at once).

Change: ResponsePace decides, in time waited for the endpoint, whether a response may go on past the limit: it must have come at 32 KiB/s or more up to its last kilobyte, the largest burst left out, and the next kilobyte may take half as long again as the slowest one so far, 150 to 500 ms. A single burst is no evidence, so the response of the case ends at the limit.

--- a/client-proxy/src/response_forwarding.rs
+++ b/client-proxy/src/response_forwarding.rs
@@ -3,6 +3,8 @@
 //! server does, a final response is sent by that deadline, and a short response that has begun is truncated
 //! if it has no end shortly after it.
 
+mod pace;
+
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -10,6 +12,7 @@
 
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
+use self::pace::ResponsePace;
 use crate::endpoint_pool::STALL_TIMEOUT;
 use crate::request_body::MAX_BUFFERED_BODY;
 use crate::upstream_request::{ClientDeadline, UpstreamRequest};
@@ -18,13 +21,11 @@
 /// still be a short one. Longer than the pauses of healthy endpoints, and within the 500 ms after which a
 /// request without an end counts as lost.
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long a short response is waited for past the client's deadline, all its chunks together. Without an
-/// end 500 ms after the deadline, or 550 ms on a real network, the request counts as lost; 150 ms of that are
-/// left for a process that is stalled for a moment.
+/// How long a response that may be a short one is waited for past the client's deadline, all its chunks
+/// together, unless a steady pace shows that it is a long one. Without an end 500 ms after the deadline, or
+/// 550 ms on a real network, the request of a short response counts as lost; 150 ms of that are left for a
+/// process that is stalled for a moment.
 const MAX_LATENESS: Duration = Duration::from_millis(400);
-/// A response of unknown length counts as a long one, whose end has no deadline, while at its rate past the
-/// client's deadline it exceeds `MAX_BUFFERED_BODY` within this time.
-const LONG_RESPONSE_TIME: Duration = Duration::from_secs(2);
 /// How often to check whether the first bytes of a response have been sent.
 const SENT_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -57,12 +58,13 @@
     deadline: ClientDeadline,
     length: Option<u64>,
     forwarded: u64,
-    /// Part of `forwarded` that came before the deadline.
-    forwarded_in_time: u64,
+    pace: ResponsePace,
     /// When waiting for the next chunk began.
     waiting_since: Option<Instant>,
-    /// Total time past the deadline that earlier chunks were waited for. Time in which the client accepts
-    /// nothing does not count.
+    /// Total time that earlier chunks were waited for. Time in which the client accepts nothing does not
+    /// count.
+    waited: Duration,
+    /// Part of `waited` that was past the deadline.
     waited_past_deadline: Duration,
     timer: Option<Pin<Box<Sleep>>>,
 }
@@ -73,8 +75,9 @@
             deadline,
             length,
             forwarded: 0,
-            forwarded_in_time: 0,
+            pace: ResponsePace::default(),
             waiting_since: None,
+            waited: Duration::ZERO,
             waited_past_deadline: Duration::ZERO,
             timer: None,
         }
@@ -84,19 +87,26 @@
     pub fn record_forwarded(&mut self, bytes: usize) {
         let now = Instant::now();
         let waiting_since = self.waiting_since.take().unwrap_or(now);
+        self.waited += now - waiting_since;
+        if let Some(deadline) = self.deadline.get() {
+            self.waited_past_deadline += now.saturating_duration_since(waiting_since.max(deadline));
+        }
         self.forwarded += bytes as u64;
-        match self.deadline.get().filter(|deadline| *deadline < now) {
-            Some(deadline) => self.waited_past_deadline += now - waiting_since.max(deadline),
-            None => self.forwarded_in_time = self.forwarded,
+        if !self.is_long() {
+            self.pace.record(bytes as u64, self.waited);
         }
     }
 
+    /// Whether only the first bytes of the response have a deadline.
+    fn is_long(&self) -> bool {
+        self.length.unwrap_or(self.forwarded) > MAX_BUFFERED_BODY as u64
+    }
+
     /// Called while the next chunk is pending; ready once it or the response is overdue.
     pub fn poll_overdue(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
-        let is_long = self.length.unwrap_or(self.forwarded) > MAX_BUFFERED_BODY as u64;
         let stalled_at = waiting_since + STALL_TIMEOUT;
-        let due = match self.deadline.get().filter(|_| !is_long) {
+        let due = match self.deadline.get().filter(|_| !self.is_long()) {
             // A client of a short response would otherwise wait past its deadline for an endpoint that has
             // stalled, or for one that goes on sending without an end.
             Some(deadline) => {
@@ -110,12 +120,10 @@
 
     /// When a response that is not known to be a long one has to have ended, if nothing more of it comes.
     fn response_due(&self, deadline: Instant, waiting_since: Instant) -> Instant {
-        let missing = (MAX_BUFFERED_BODY as u64 + 1).saturating_sub(self.forwarded).max(1);
-        let received_late = self.forwarded - self.forwarded_in_time;
-        // With `received_late` bytes in this time, the missing ones come within `LONG_RESPONSE_TIME`.
-        let sufficient_rate = LONG_RESPONSE_TIME.mul_f64(received_late as f64 / missing as f64);
-        let allowed = MAX_LATENESS.max(sufficient_rate);
-        waiting_since.max(deadline) + allowed.saturating_sub(self.waited_past_deadline)
+        let limit = waiting_since.max(deadline) + MAX_LATENESS.saturating_sub(self.waited_past_deadline);
+        let steady_until =
+            self.pace.steady_until().map(|until| waiting_since + until.saturating_sub(self.waited));
+        steady_until.map_or(limit, |until| until.max(limit))
     }
 
     /// Ready once part of a response that has failed was sent to the client, which `is_started` tells.
--- a/client-proxy/src/response_forwarding/tests.rs
+++ b/client-proxy/src/response_forwarding/tests.rs
@@ -1,3 +1,6 @@
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
 use super::*;
 use crate::request_end::RequestEnd;
 
@@ -116,6 +119,83 @@
     }
 }
 
+/// Forwards pieces of a response of unknown length, given by the pause before each and its bytes, and then
+/// nothing more. Returns after how long the response is ended, and how many bytes were forwarded by then.
+fn ends_after_pieces(pieces: impl IntoIterator<Item = (Duration, usize)>) -> (Duration, u64) {
+    run_paused(async {
+        let start = Instant::now();
+        let mut forwarder = ResponseForwarder::new(ClientDeadline::At(start + DEADLINE), None);
+        let mut next = start;
+        for (pause, bytes) in pieces {
+            next += pause;
+            tokio::select! {
+                biased;
+                _ = std::future::poll_fn(|cx| forwarder.poll_overdue(cx)) => break,
+                _ = sleep_until(next) => forwarder.record_forwarded(bytes),
+            }
+        }
+        std::future::poll_fn(|cx| forwarder.poll_overdue(cx)).await;
+        (start.elapsed(), forwarder.forwarded)
+    })
+}
+
+/// An endless response of which most comes in one burst is ended as early as one without a burst: what came
+/// in the burst once counted as a rate, and such a response went on for many seconds.
+#[test]
+fn endless_response_with_a_burst_is_ended_in_time() {
+    let trickle = |pieces: u64| (0..pieces).map(|_| (Duration::from_millis(200), 16));
+    for burst_bytes in [8 << 10, 20 << 10, 33 << 10, 48 << 10, 56 << 10, 63 << 10] {
+        for parts in [1, 8] {
+            for (pieces_before, late_ms) in
+                (0..4).flat_map(|before| [(before, 0), (before, 90), (before, 180)])
+            {
+                let late = (Duration::from_millis(late_ms), burst_bytes / parts);
+                let burst =
+                    std::iter::once(late).chain((1..parts).map(|_| (Duration::from_millis(9), late.1)));
+                let pieces = trickle(pieces_before).chain(burst).chain(trickle(1_000));
+                let (ended, _) = ends_after_pieces(pieces);
+                let latest = DEADLINE + LAST_END + Duration::from_millis(1);
+                let context = format!(
+                    "{burst_bytes} bytes in {parts} parts after {pieces_before} pieces and {late_ms} ms"
+                );
+                assert!((DEADLINE..=latest).contains(&ended), "{context}: ended after {ended:?}");
+            }
+        }
+    }
+}
+
+/// A long response in pieces of any size, at no less than 50 kB/s: its pieces from the one that exceeds
+/// 64 KiB on are of no interest, since it counts as long then.
+fn random_long_response(rng: &mut Pcg32) -> Vec<(Duration, usize)> {
+    let mut between = |low: u32, high: u32| low + rng.next_u32() % (high - low);
+    let (rate, largest) = (between(50_000, 200_000), between(1_000, 24_000));
+    let mut pieces = vec![(Duration::from_millis(between(0, 400).into()), between(1, largest) as usize)];
+    while pieces.iter().map(|(_, bytes)| bytes).sum::<usize>() <= MAX_BUFFERED_BODY {
+        let bytes = between(1, largest);
+        // The mean of the pauses keeps the rate.
+        let mean_ms = (largest / 2 * 1_000 / rate).max(1);
+        pieces.push((Duration::from_millis(between(0, 2 * mean_ms + 1).into()), bytes as usize));
+    }
+    pieces
+}
+
+/// Of the responses of unknown length that are complete, the operators want half at least forwarded. Of the
+/// long ones that are slow, so that they are not known to be long at the limit for short ones, as many.
+#[test]
+fn half_of_the_slow_long_responses_are_forwarded() {
+    let mut rng = Pcg32::seed_from_u64(46);
+    let (mut slow, mut forwarded) = (0, 0);
+    while slow < 1_000 {
+        let pieces = random_long_response(&mut rng);
+        if pieces.iter().map(|(pause, _)| *pause).sum::<Duration>() <= DEADLINE + LAST_END {
+            continue;
+        }
+        slow += 1;
+        forwarded += usize::from(ends_after_pieces(pieces).1 > MAX_BUFFERED_BODY as u64);
+    }
+    assert!(2 * forwarded >= slow, "{forwarded} of {slow}");
+}
+
 /// Guards against a response without a deadline because it began before its request was complete.
 #[test]
 fn deadline_of_early_response_begins_with_request_end() {
