Keep the poll at an earlier address of discovery while its response may come

Cause: Discovery::poll waited for the response and for a change of address together; a change dropped the exchange with its connection and began anew. While signals came faster than responses no poll was ever answered. Evidence, from the stand-in's record: each of the four polls was dropped at the next signal and its response, with the drain, written 0.5 s later. Ruled out: the backoff and the timeouts, as no poll had failed before the last one.

Change: the poll is repeated at the new address at once, as before. Version and next poll stay those of the new address. For the balancer it is an update of a kind of its own, which does not end a backoff.

--- a/balancer/src/interface/event.rs
+++ b/balancer/src/interface/event.rs
@@ -49,6 +49,11 @@
     FullSnapshot(Vec<EndpointEntry>),
     /// The full list that was cached before a restart of the client proxy; it may be stale.
     CachedSnapshot(Vec<EndpointEntry>),
+    /// The entries that changed, in a late response to a poll that has been repeated elsewhere meanwhile: it
+    /// says nothing about the later poll.
+    SupersededChanges(Vec<EndpointEntry>),
+    /// The full list in such a response.
+    SupersededSnapshot(Vec<EndpointEntry>),
     /// A watch or poll failed, or an established watch was interrupted.
     Failed,
 }
--- a/balancer/src/logic/endpoint_list.rs
+++ b/balancer/src/logic/endpoint_list.rs
@@ -29,11 +29,14 @@
 impl Balancer {
     /// Applies an update of the endpoint list, or sets a timer for the next poll after a failure.
     pub(super) fn apply_update(&mut self, update: EndpointUpdate, actions: &mut Vec<Action>) {
-        let is_incremental = matches!(update, EndpointUpdate::Changes(_));
-        let is_cached = matches!(update, EndpointUpdate::CachedSnapshot(_));
+        let is_incremental =
+            matches!(update, EndpointUpdate::Changes(_) | EndpointUpdate::SupersededChanges(_));
+        let ends_poll = matches!(update, EndpointUpdate::Changes(_) | EndpointUpdate::FullSnapshot(_));
         let (EndpointUpdate::CachedSnapshot(entries)
         | EndpointUpdate::FullSnapshot(entries)
-        | EndpointUpdate::Changes(entries)) = update
+        | EndpointUpdate::Changes(entries)
+        | EndpointUpdate::SupersededSnapshot(entries)
+        | EndpointUpdate::SupersededChanges(entries)) = update
         else {
             // If a whole fleet polls faster than discovery can respond, its queue only contains polls that
             // have timed out, and nobody gets a response. The backoff therefore grows with each failure and
@@ -48,8 +51,8 @@
             }
             return;
         };
-        if !is_cached {
-            // A cached list is no response to a poll, so it says nothing about discovery.
+        if ends_poll {
+            // Any other list is no response to the poll under way, so it says nothing about discovery.
             (self.watching, self.poll_backoff) = (true, INITIAL_POLL_BACKOFF);
         }
         if !is_incremental {
--- a/balancer/tests/endpoint_list.rs
+++ b/balancer/tests/endpoint_list.rs
@@ -146,6 +146,27 @@
     }
 }
 
+/// A late response to a superseded poll says nothing about the poll that failed since: if it counted as a
+/// running watch, discovery would never be polled again.
+#[test]
+fn superseded_response_does_not_end_the_poll_backoff() {
+    let settings = Settings { discovery_mode: DiscoveryMode::Pull, ..settings() };
+    let changed = EndpointEntry { state: EndpointState::Draining, ..endpoints(2).remove(0) };
+    let snapshot = EndpointUpdate::SupersededSnapshot(vec![changed.clone(), endpoints(2).remove(1)]);
+    for update in [EndpointUpdate::SupersededChanges(vec![changed]), snapshot] {
+        let mut harness = Harness::new(settings.clone(), endpoints(2));
+        let watches = |harness: &Harness| harness.actions.iter().filter(|a| **a == Action::Watch).count();
+        harness.update_endpoints(EndpointUpdate::FullSnapshot(endpoints(2)));
+        harness.update_endpoints(EndpointUpdate::Failed);
+        let before = watches(&harness);
+        harness.update_endpoints(update.clone());
+        harness.advance(800.0);
+        assert_eq!(watches(&harness), before + 1, "{update:?}");
+        let used = next_endpoints(&mut harness);
+        assert_eq!(used, [endpoints(2)[1].endpoint].into(), "the draining endpoint gets no request");
+    }
+}
+
 #[test]
 fn failed_watch_keeps_endpoint_list() {
     let mut settings = settings();
--- a/client-proxy/src/discovery.rs
+++ b/client-proxy/src/discovery.rs
@@ -3,6 +3,7 @@
 //! connections.
 
 mod source_selector;
+mod superseded_polls;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -13,13 +14,14 @@
 use discovery_client::{
     DiscoveryConnection, DiscoveryResponse, PollError, dial, exchange, list_request, origin_time,
 };
-use discovery_proto::{ListReader, ListResponse, PollTiming, ReceivedAt, Subscription};
+use discovery_proto::{ListReader, ListResponse, PollTiming, ReceivedAt, Subscription, SupersededPoll};
+use hyper::HeaderMap;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::driver::{DiscoveryCommand, Driver};
 use crate::endpoint_pool::EndpointPool;
@@ -27,6 +29,7 @@
 use crate::process_state::ProcessState;
 
 pub use self::source_selector::SourceSelector;
+use self::superseded_polls::{Exchange, SupersededPolls};
 
 /// Part of the timeout of a poll: discovery counts as unreachable if a dial takes longer.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -48,6 +51,7 @@
     subscription: Subscription<EndpointPool>,
     rng: Pcg32,
     connection: Option<DiscoveryConnection>,
+    superseded_polls: SupersededPolls,
     /// Address of the last poll.
     last_address: Option<SocketAddr>,
     failing: bool,
@@ -83,6 +87,7 @@
             state,
             rng: Pcg32::seed_from_u64(seed),
             connection: None,
+            superseded_polls: SupersededPolls::default(),
             last_address: None,
             failing: false,
             ready: watch::Sender::new(false),
@@ -134,6 +139,10 @@
                     // A new address ends the balancer's backoff after a failure, which concerned the old
                     // address.
                     () = self.sources.wait_for_move() => Some(DiscoveryCommand::Watch),
+                    (poll, response) = self.superseded_polls.next_response() => {
+                        self.apply_superseded_response(poll, &response);
+                        continue;
+                    }
                 };
                 let Some(command) = command else { return };
                 self.poll_for(command).await;
@@ -151,10 +160,20 @@
                     continue;
                 }
                 let jitter = 0.5 + 0.5 * f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
-                tokio::select! {
-                    () = sleep(backoff.mul_f64(jitter)) => {}
-                    // A new address ends the backoff, which concerned the old address.
-                    () = self.sources.wait_for_move() => {}
+                self.back_off(backoff.mul_f64(jitter)).await;
+            }
+        }
+    }
+
+    /// Waits before the next poll. A new address ends the backoff, which concerned the old address.
+    async fn back_off(&mut self, backoff: Duration) {
+        let until = Instant::now() + backoff;
+        loop {
+            tokio::select! {
+                () = sleep_until(until) => return,
+                () = self.sources.wait_for_move() => return,
+                (poll, response) = self.superseded_polls.next_response() => {
+                    self.apply_superseded_response(poll, &response);
                 }
             }
         }
@@ -183,38 +202,13 @@
     /// Makes one poll and applies its response.
     async fn poll(&mut self) -> Result<(), PollError> {
         let polled_at = Instant::now();
-        let DiscoveryResponse { connection: conn, headers, body } = loop {
-            if self.sources.has_moved() {
-                // The connection leads to the old address.
-                self.connection = None;
-                self.subscription.source_changed();
-            }
-            let (address, endpoint) = self.sources.next_source();
-            let previous = self.last_address.replace(address);
-            // Relays serve the list of the same discovery, so a change of relay does not start a new session.
-            // The same address configured again is the same discovery too.
-            if self.sources.is_shared() && previous.is_some_and(|previous| previous != address) {
-                self.subscription.reset_versions();
-            }
-            let call = self.subscription.next_poll();
-            let request = list_request(endpoint, &call.path());
-            // Taken for the duration of the poll: if it fails or times out, the connection is dropped and the
-            // next poll dials.
-            let conn = self.connection.take();
-            let dial = dial(address, DIAL_TIMEOUT);
-            tokio::select! {
-                reply = timeout(call.timeout, exchange(conn, dial, request, MAX_LIST_BYTES)) => break reply??,
-                // There will be no response from the old address; the same poll is repeated at the new one.
-                () = self.sources.wait_for_move() => {}
-            }
-        };
-        let discovery_unix_ms = origin_time(&headers).map(|time| time.as_secs_f64() * 1e3);
-        let received = ReceivedAt { local: self.driver.clock().now(), discovery_unix_ms };
+        let DiscoveryResponse { connection, headers, body } = self.fetch_response().await?;
+        let received = self.received_at(&headers);
         let response = self.subscription.on_response(&body, received);
         self.log_problems();
         let response = response?;
         self.sources.record_success();
-        self.connection = Some(conn);
+        self.connection = Some(connection);
         if self.failing {
             self.failing = false;
             eprintln!("client-proxy: discovery responds again");
@@ -227,6 +221,7 @@
                 return Ok(());
             }
         };
+        self.superseded_polls.clear();
         self.publish_list(index);
         let is_unchanged = matches!(&update, EndpointUpdate::Changes(changes) if changes.is_empty());
         if !is_unchanged || self.mode == Mode::Pull {
@@ -239,6 +234,74 @@
         Ok(())
     }
 
+    /// Sends the next poll and waits for its response. Whenever discovery moves meanwhile, the poll is repeated
+    /// at the new address at once. What an earlier address still responds is applied until the new one does.
+    async fn fetch_response(&mut self) -> Result<DiscoveryResponse, PollError> {
+        loop {
+            let (due, mut exchange) = self.start_poll();
+            loop {
+                tokio::select! {
+                    response = timeout_at(due, &mut exchange) => return response?,
+                    (poll, response) = self.superseded_polls.next_response() => {
+                        self.apply_superseded_response(poll, &response);
+                    }
+                    () = self.sources.wait_for_move() => break,
+                }
+            }
+            self.superseded_polls.add(self.subscription.supersede_poll(), exchange);
+        }
+    }
+
+    /// The next poll, and when it times out.
+    fn start_poll(&mut self) -> (Instant, Exchange) {
+        if self.sources.has_moved() {
+            // The connection leads to the old address.
+            self.connection = None;
+            self.subscription.source_changed();
+        }
+        let (address, endpoint) = self.sources.next_source();
+        let previous = self.last_address.replace(address);
+        // Relays serve the list of the same discovery, so a change of relay does not start a new session.
+        // The same address configured again is the same discovery too.
+        if self.sources.is_shared() && previous.is_some_and(|previous| previous != address) {
+            self.subscription.reset_versions();
+        }
+        let call = self.subscription.next_poll();
+        let request = list_request(endpoint, &call.path());
+        // Taken for the duration of the poll: if it fails or times out, the connection is dropped and the
+        // next poll dials.
+        let connection = self.connection.take();
+        let exchange = exchange(connection, dial(address, DIAL_TIMEOUT), request, MAX_LIST_BYTES);
+        (Instant::now() + call.timeout, Box::pin(exchange))
+    }
+
+    /// Applies what an earlier address of discovery has responded. All addresses lead to the same discovery, so
+    /// a change counts as told once any of them has written it.
+    fn apply_superseded_response(&mut self, poll: SupersededPoll, response: &DiscoveryResponse) {
+        let received = self.received_at(&response.headers);
+        let update = self.subscription.on_superseded_response(poll, &response.body, received);
+        self.log_problems();
+        match update {
+            Ok(Some(update)) => {
+                if let Some(index) = self.subscription.version() {
+                    self.publish_list(index);
+                }
+                self.driver.apply_endpoint_update(update);
+                self.ready.send_replace(true);
+            }
+            Ok(None) => {}
+            Err(error) => {
+                eprintln!("client-proxy: response of an earlier discovery address ignored: {error}");
+            }
+        }
+    }
+
+    /// When a response with these headers was received, which is now.
+    fn received_at(&self, headers: &HeaderMap) -> ReceivedAt {
+        let discovery_unix_ms = origin_time(headers).map(|time| time.as_secs_f64() * 1e3);
+        ReceivedAt { local: self.driver.clock().now(), discovery_unix_ms }
+    }
+
     /// Backoff before the same poll is repeated at another relay, or at the same one after a local error;
     /// `None` if no relay is left.
     fn failover_backoff(&mut self, error: &PollError) -> Option<Duration> {
--- a/discovery-proto/src/lib.rs
+++ b/discovery-proto/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use ids::EndpointIds;
 pub use list::{EndpointList, EndpointLocation, EndpointLocations, ListReader, ParsedEntries};
-pub use session::{PollRequest, PollTiming, ResponseSummary, Session, Verdict};
+pub use session::{PollRequest, PollTiming, ResponseSummary, Session, SupersededPoll, Verdict};
 pub use sources::{FAILOVER_SPREAD, Fallback, Sources};
 pub use starts::ReceivedAt;
 pub use subscription::{EndpointListError, ListResponse, Subscription};
--- a/discovery-proto/src/session.rs
+++ b/discovery-proto/src/session.rs
@@ -135,6 +135,27 @@
     pub unreadable: usize,
 }
 
+/// A poll that was repeated at another address of discovery before its response had arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SupersededPoll {
+    /// The version of which it requests the changes; a full snapshot if `None`.
+    after: Option<u64>,
+    /// The version of the last response that had been applied when it was superseded.
+    newest: Option<u64>,
+}
+
+impl SupersededPoll {
+    /// Whether this response may be applied, on top of the list as it was when the poll was superseded.
+    pub fn accepts(&self, response: ResponseSummary) -> bool {
+        let ResponseSummary { index, full_snapshot, unreadable, .. } = response;
+        if full_snapshot {
+            self.newest.is_none_or(|newest| index >= newest)
+        } else {
+            unreadable == 0 && self.after.is_some_and(|after| index > after)
+        }
+    }
+}
+
 /// Whether a response may be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -201,6 +222,16 @@
         }
     }
 
+    /// The poll that is under way, which the caller is about to repeat at another address.
+    pub fn supersede_poll(&self) -> SupersededPoll {
+        SupersededPoll { after: self.version, newest: self.newest }
+    }
+
+    /// The version of the current list; `None` if the next poll has to request a full snapshot.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
     /// Makes the next poll request a full snapshot, for a caller that does not act on the last response.
     pub fn request_full_snapshot(&mut self) {
         (self.state, self.version) = (State::Resyncing, None);
--- a/discovery-proto/src/session/tests.rs
+++ b/discovery-proto/src/session/tests.rs
@@ -128,6 +128,26 @@
     assert_eq!((session.next_poll().after, session.next_poll().wait), (Some(41), Duration::ZERO));
 }
 
+/// The response to a superseded poll fits the list as it was when the poll was superseded. An older list, or
+/// changes of which some cannot be read, must not be applied.
+#[test]
+fn superseded_poll_accepts_what_fits_its_list() {
+    let mut session = watching();
+    let superseded = session.supersede_poll();
+    session.source_changed();
+    session.reset_versions();
+    let accepted = [CHANGE, ResponseSummary { index: 43, ..CHANGE }, FULL_SNAPSHOT];
+    let rejected = [
+        ResponseSummary { index: 41, ..CHANGE },
+        ResponseSummary { unreadable: 1, ..CHANGE },
+        ResponseSummary { index: 40, ..FULL_SNAPSHOT },
+    ];
+    assert!(accepted.iter().all(|response| superseded.accepts(*response)), "{accepted:?}");
+    assert!(!rejected.iter().any(|response| superseded.accepts(*response)), "{rejected:?}");
+    let first = Session::new(PollTiming::DIRECT, None).supersede_poll();
+    assert!(first.accepts(FULL_SNAPSHOT) && !first.accepts(CHANGE), "there is no list to change yet");
+}
+
 /// If a fleet shares one discovery, a watch that starts with a separate poll adds to discovery's queue, and a
 /// poll that times out while it is still queued has been worked on for nothing. So the resync starts the
 /// watch and waits for as long as polls are queued, and the sum stays within the bound on staleness all the
--- a/discovery-proto/src/subscription.rs
+++ b/discovery-proto/src/subscription.rs
@@ -4,7 +4,7 @@
 use thiserror::Error;
 
 use crate::list::{EndpointList, EndpointLocations, ListReader, ParsedEntries};
-use crate::session::{PollRequest, PollTiming, ResponseSummary, Session, Verdict};
+use crate::session::{PollRequest, PollTiming, ResponseSummary, Session, SupersededPoll, Verdict};
 use crate::starts::ReceivedAt;
 
 /// Why a complete response is not a usable endpoint list.
@@ -38,6 +38,13 @@
     },
 }
 
+/// A response that could be parsed.
+struct ParsedResponse {
+    summary: ResponseSummary,
+    is_empty: bool,
+    entries: ParsedEntries,
+}
+
 /// Follows the endpoint list of one discovery. See the module documentation.
 pub struct Subscription<P> {
     timing: PollTiming,
@@ -100,6 +107,16 @@
         self.session.reset_versions();
     }
 
+    /// The poll that is under way, which the caller is about to repeat at another address.
+    pub fn supersede_poll(&self) -> SupersededPoll {
+        self.session.supersede_poll()
+    }
+
+    /// The version of the current list; `None` if the next poll has to request a full snapshot.
+    pub fn version(&self) -> Option<u64> {
+        self.session.version()
+    }
+
     /// Applies the complete body of the response to [`Subscription::next_poll`]. Start times in the update
     /// are on the caller's clock.
     ///
@@ -111,23 +128,14 @@
         body: &[u8],
         received: ReceivedAt,
     ) -> Result<ListResponse, EndpointListError> {
-        self.entry_errors.clear();
-        let EndpointList { index, snapshot: full_snapshot, endpoints } = serde_json::from_slice(body)?;
-        let is_empty = endpoints.is_empty();
-        let parsed = self.parse(endpoints);
-        let (readable, unreadable) = (parsed.entries.len(), self.entry_errors.len());
-        // Applying a full snapshot without any valid entry would remove every endpoint.
-        if full_snapshot && !is_empty && readable == 0 {
-            return Err(EndpointListError::NoReadableEntries);
-        }
+        let response = self.parse_response(body)?;
+        let (index, is_empty) = (response.summary.index, response.is_empty);
         let waited = !self.session.next_poll().wait.is_zero();
-        if self.session.on_response(ResponseSummary { index, full_snapshot, readable, unreadable })
-            == Verdict::Rejected
-        {
+        if self.session.on_response(response.summary) == Verdict::Rejected {
             return Ok(ListResponse::Rejected { index });
         }
-        let mut entries = self.reader.apply(parsed, full_snapshot);
-        self.reader.ids.translate_response(&mut entries, received);
+        let full_snapshot = response.summary.full_snapshot;
+        let entries = self.apply(response, received);
         let update = if full_snapshot {
             EndpointUpdate::FullSnapshot(entries)
         } else {
@@ -136,6 +144,52 @@
         Ok(ListResponse::Applied { index, update, empty_watch: is_empty && waited })
     }
 
+    /// Applies the complete body of the response to a superseded poll, as long as no later poll has been
+    /// answered. The version and the next poll stay as they are: the poll that repeats this one brings the
+    /// same changes, and what came after them. `None` if nothing is new or the response does not fit.
+    ///
+    /// # Errors
+    /// If it is not a usable list.
+    pub fn on_superseded_response(
+        &mut self,
+        poll: SupersededPoll,
+        body: &[u8],
+        received: ReceivedAt,
+    ) -> Result<Option<EndpointUpdate>, EndpointListError> {
+        let response = self.parse_response(body)?;
+        let has_news = response.summary.full_snapshot || !response.is_empty;
+        if !has_news || !poll.accepts(response.summary) {
+            return Ok(None);
+        }
+        let full_snapshot = response.summary.full_snapshot;
+        let entries = self.apply(response, received);
+        Ok(Some(if full_snapshot {
+            EndpointUpdate::SupersededSnapshot(entries)
+        } else {
+            EndpointUpdate::SupersededChanges(entries)
+        }))
+    }
+
+    fn parse_response(&mut self, body: &[u8]) -> Result<ParsedResponse, EndpointListError> {
+        self.entry_errors.clear();
+        let EndpointList { index, snapshot: full_snapshot, endpoints } = serde_json::from_slice(body)?;
+        let is_empty = endpoints.is_empty();
+        let entries = self.parse(endpoints);
+        let (readable, unreadable) = (entries.entries.len(), self.entry_errors.len());
+        // Applying a full snapshot without any valid entry would remove every endpoint.
+        if full_snapshot && !is_empty && readable == 0 {
+            return Err(EndpointListError::NoReadableEntries);
+        }
+        let summary = ResponseSummary { index, full_snapshot, readable, unreadable };
+        Ok(ParsedResponse { summary, is_empty, entries })
+    }
+
+    fn apply(&mut self, response: ParsedResponse, received: ReceivedAt) -> Vec<EndpointEntry> {
+        let mut entries = self.reader.apply(response.entries, response.summary.full_snapshot);
+        self.reader.ids.translate_response(&mut entries, received);
+        entries
+    }
+
     /// Records a poll that failed, was rejected or timed out, or whose response was not a valid list
     /// (`invalid_response`). Returns the backoff before the next poll, for callers that have no backoff of
     /// their own.
