Use the late response to a poll of discovery that has timed out

What it meant: with pushed lists, a discovery that takes 2.5 s and new addresses 2.4 s apart, no change was ever heard.

Cause: a poll that timed out was dropped with its connection, like one whose address changed. With pushed lists a poll has 2.3 s and only every second one 3.2 s, and each address change begins with 2.3 s again, so each response came 0.2 s after its poll had been given up.

Change: a poll that times out is kept as a superseded one for 1.5 s. The next poll is not delayed, and no further poll is made.

The case (2,500 ms, each 2,400 ms) of changes_are_received_while_the_address_keeps_changing fails without the change ("Push, 2500 ms, each 2400 ms, 0 ms: 24s") and passes with it, as do the other tests of discovery, reload, relays, system calls and the socket budget.

--- a/client-proxy/src/discovery.rs
+++ b/client-proxy/src/discovery.rs
@@ -235,20 +235,27 @@
     }
 
     /// Sends the next poll and waits for its response. Whenever discovery moves meanwhile, the poll is repeated
-    /// at the new address at once. What an earlier address still responds is applied until the new one does.
+    /// at the new address at once. What a poll that has been repeated, or will be since it timed out, still
+    /// brings is applied until a later one is answered.
     async fn fetch_response(&mut self) -> Result<DiscoveryResponse, PollError> {
         loop {
             let (due, mut exchange) = self.start_poll();
-            loop {
+            let result = loop {
                 tokio::select! {
-                    response = timeout_at(due, &mut exchange) => return response?,
+                    result = timeout_at(due, &mut exchange) => break Some(result),
                     (poll, response) = self.superseded_polls.next_response() => {
                         self.apply_superseded_response(poll, &response);
                     }
-                    () = self.sources.wait_for_move() => break,
+                    () = self.sources.wait_for_move() => break None,
                 }
+            };
+            if let Some(Ok(response)) = result {
+                return response;
             }
             self.superseded_polls.add(self.subscription.supersede_poll(), exchange);
+            if let Some(Err(timed_out)) = result {
+                return Err(timed_out.into());
+            }
         }
     }
 
@@ -275,8 +282,8 @@
         (Instant::now() + call.timeout, Box::pin(exchange))
     }
 
-    /// Applies what an earlier address of discovery has responded. All addresses lead to the same discovery, so
-    /// a change counts as told once any of them has written it.
+    /// Applies the late response to a superseded poll. All addresses lead to the same discovery, so a change
+    /// counts as told once any of them has written it.
     fn apply_superseded_response(&mut self, poll: SupersededPoll, response: &DiscoveryResponse) {
         let received = self.received_at(&response.headers);
         let update = self.subscription.on_superseded_response(poll, &response.body, received);
@@ -291,7 +298,7 @@
             }
             Ok(None) => {}
             Err(error) => {
-                eprintln!("client-proxy: response of an earlier discovery address ignored: {error}");
+                eprintln!("client-proxy: late response of discovery ignored: {error}");
             }
         }
     }
--- a/client-proxy/src/discovery/superseded_polls.rs
+++ b/client-proxy/src/discovery/superseded_polls.rs
@@ -1,7 +1,8 @@
-//! Polls at earlier addresses of discovery that still wait for their responses.
+//! Polls that have been repeated, or are about to be, and still wait for their responses.
 //!
 //! A reload names another address, at which the poll under way is repeated at once. The earlier address still
-//! responds on the connections that it has open, and what it writes there counts as told.
+//! responds on the connections that it has open, and what it writes there counts as told. The same goes for a
+//! poll that has timed out: a discovery that is slow has worked on it all the same.
 
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -12,7 +13,7 @@
 use discovery_proto::SupersededPoll;
 use tokio::time::{Timeout, timeout};
 
-/// How long a superseded poll is waited for: the earlier address closes its connections this long after the
+/// How long a superseded poll is waited for: an earlier address closes its connections this long after the
 /// reload ("Reloading" in the operators' terms).
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How many superseded polls are waited for, each with a connection of its own. The oldest ones are kept, since
--- a/client-proxy/src/discovery/tests/address_changes.rs
+++ b/client-proxy/src/discovery/tests/address_changes.rs
@@ -70,12 +70,13 @@
 }
 
 /// A slow discovery gets a new address again and again, each time before it has responded at the last one. A
-/// change must take effect in time all the same: with each address the poll under way was dropped.
+/// change must take effect in time all the same: with each address the poll under way was dropped, and with
+/// pushed lists so was one that timed out just before.
 #[test]
 fn changes_are_received_while_the_address_keeps_changing() {
     for mode in [Mode::Push, Mode::Pull] {
         for (delay_ms, interval_ms) in
-            [(2_500, 2_000), (2_500, 1_200), (2_000, 600), (1_600, 400), (1_400, 100)]
+            [(2_500, 2_400), (2_500, 2_000), (2_500, 1_200), (2_000, 600), (1_600, 400), (1_400, 100)]
         {
             for changed_after_ms in [0, 100, 900] {
                 run(async {
--- a/discovery-proto/src/session.rs
+++ b/discovery-proto/src/session.rs
@@ -135,7 +135,7 @@
     pub unreadable: usize,
 }
 
-/// A poll that was repeated at another address of discovery before its response had arrived.
+/// A poll that is repeated before its response has arrived, since it timed out or discovery has moved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SupersededPoll {
     /// The version of which it requests the changes; a full snapshot if `None`.
@@ -222,7 +222,7 @@
         }
     }
 
-    /// The poll that is under way, which the caller is about to repeat at another address.
+    /// The poll that is under way, which the caller is about to repeat.
     pub fn supersede_poll(&self) -> SupersededPoll {
         SupersededPoll { after: self.version, newest: self.newest }
     }
--- a/discovery-proto/src/subscription.rs
+++ b/discovery-proto/src/subscription.rs
@@ -107,7 +107,7 @@
         self.session.reset_versions();
     }
 
-    /// The poll that is under way, which the caller is about to repeat at another address.
+    /// The poll that is under way, which the caller is about to repeat.
     pub fn supersede_poll(&self) -> SupersededPoll {
         self.session.supersede_poll()
     }
