Move one poll of discovery into a file of its own

Change: polling.rs has one poll: its connection, its response and the late responses of earlier polls. discovery.rs keeps when to poll, in both modes. Moved only; the tests follow with an import.

--- a/client-proxy/src/discovery.rs
+++ b/client-proxy/src/discovery.rs
@@ -2,6 +2,7 @@
 //! decides which poll comes next, when it times out and what a response means; this module has the
 //! connections.
 
+mod polling;
 mod source_selector;
 mod superseded_polls;
 
@@ -11,17 +12,14 @@
 use std::time::Duration;
 
 use balancer::{DiscoveryMode as Mode, EndpointUpdate};
-use discovery_client::{
-    DiscoveryConnection, DiscoveryResponse, PollError, dial, exchange, list_request, origin_time,
-};
-use discovery_proto::{ListReader, ListResponse, PollTiming, ReceivedAt, Subscription, SupersededPoll};
-use hyper::HeaderMap;
+use discovery_client::{DiscoveryConnection, PollError};
+use discovery_proto::{ListReader, PollTiming, Subscription};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::driver::{DiscoveryCommand, Driver};
 use crate::endpoint_pool::EndpointPool;
@@ -29,15 +27,11 @@
 use crate::process_state::ProcessState;
 
 pub use self::source_selector::SourceSelector;
-use self::superseded_polls::{Exchange, SupersededPolls};
+use self::superseded_polls::SupersededPolls;
 
-/// Part of the timeout of a poll: discovery counts as unreachable if a dial takes longer.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Minimum time between polls that discovery should have held open but returned at once, which could
 /// otherwise go on in a tight loop. Well below 200 ms, the time within which a watch has to be resumed.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Limit for the size of an endpoint list.
-const MAX_LIST_BYTES: usize = 8 * 1024 * 1024;
 /// How long readiness waits for the first response of discovery if endpoints are known from before.
 const FIRST_POLL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -199,116 +193,6 @@
         }
     }
 
-    /// Makes one poll and applies its response.
-    async fn poll(&mut self) -> Result<(), PollError> {
-        let polled_at = Instant::now();
-        let DiscoveryResponse { connection, headers, body } = self.fetch_response().await?;
-        let received = self.received_at(&headers);
-        let response = self.subscription.on_response(&body, received);
-        self.log_problems();
-        let response = response?;
-        self.sources.record_success();
-        self.connection = Some(connection);
-        if self.failing {
-            self.failing = false;
-            eprintln!("client-proxy: discovery responds again");
-        }
-        let (index, update, empty_watch) = match response {
-            ListResponse::Applied { index, update, empty_watch } => (index, update, empty_watch),
-            ListResponse::Rejected { index } => {
-                eprintln!("client-proxy: discovery: version {index} rejected: fetching a full snapshot");
-                sleep(MIN_POLL_INTERVAL).await;
-                return Ok(());
-            }
-        };
-        self.superseded_polls.clear();
-        self.publish_list(index);
-        let is_unchanged = matches!(&update, EndpointUpdate::Changes(changes) if changes.is_empty());
-        if !is_unchanged || self.mode == Mode::Pull {
-            self.driver.apply_endpoint_update(update);
-        }
-        self.ready.send_replace(true);
-        if empty_watch && polled_at.elapsed() < MIN_POLL_INTERVAL {
-            sleep(MIN_POLL_INTERVAL).await;
-        }
-        Ok(())
-    }
-
-    /// Sends the next poll and waits for its response. Whenever discovery moves meanwhile, the poll is repeated
-    /// at the new address at once. What a poll that has been repeated, or will be since it timed out, still
-    /// brings is applied until a later one is answered.
-    async fn fetch_response(&mut self) -> Result<DiscoveryResponse, PollError> {
-        loop {
-            let (due, mut exchange) = self.start_poll();
-            let result = loop {
-                tokio::select! {
-                    result = timeout_at(due, &mut exchange) => break Some(result),
-                    (poll, response) = self.superseded_polls.next_response() => {
-                        self.apply_superseded_response(poll, &response);
-                    }
-                    () = self.sources.wait_for_move() => break None,
-                }
-            };
-            if let Some(Ok(response)) = result {
-                return response;
-            }
-            self.superseded_polls.add(self.subscription.supersede_poll(), exchange);
-            if let Some(Err(timed_out)) = result {
-                return Err(timed_out.into());
-            }
-        }
-    }
-
-    /// The next poll, and when it times out.
-    fn start_poll(&mut self) -> (Instant, Exchange) {
-        if self.sources.has_moved() {
-            // The connection leads to the old address.
-            self.connection = None;
-            self.subscription.source_changed();
-        }
-        let (address, endpoint) = self.sources.next_source();
-        let previous = self.last_address.replace(address);
-        // Relays serve the list of the same discovery, so a change of relay does not start a new session.
-        // The same address configured again is the same discovery too.
-        if self.sources.is_shared() && previous.is_some_and(|previous| previous != address) {
-            self.subscription.reset_versions();
-        }
-        let call = self.subscription.next_poll();
-        let request = list_request(endpoint, &call.path());
-        // Taken for the duration of the poll: if it fails or times out, the connection is dropped and the
-        // next poll dials.
-        let connection = self.connection.take();
-        let exchange = exchange(connection, dial(address, DIAL_TIMEOUT), request, MAX_LIST_BYTES);
-        (Instant::now() + call.timeout, Box::pin(exchange))
-    }
-
-    /// Applies the late response to a superseded poll. All addresses lead to the same discovery, so a change
-    /// counts as told once any of them has written it.
-    fn apply_superseded_response(&mut self, poll: SupersededPoll, response: &DiscoveryResponse) {
-        let received = self.received_at(&response.headers);
-        let update = self.subscription.on_superseded_response(poll, &response.body, received);
-        self.log_problems();
-        match update {
-            Ok(Some(update)) => {
-                if let Some(index) = self.subscription.version() {
-                    self.publish_list(index);
-                }
-                self.driver.apply_endpoint_update(update);
-                self.ready.send_replace(true);
-            }
-            Ok(None) => {}
-            Err(error) => {
-                eprintln!("client-proxy: late response of discovery ignored: {error}");
-            }
-        }
-    }
-
-    /// When a response with these headers was received, which is now.
-    fn received_at(&self, headers: &HeaderMap) -> ReceivedAt {
-        let discovery_unix_ms = origin_time(headers).map(|time| time.as_secs_f64() * 1e3);
-        ReceivedAt { local: self.driver.clock().now(), discovery_unix_ms }
-    }
-
     /// Backoff before the same poll is repeated at another relay, or at the same one after a local error;
     /// `None` if no relay is left.
     fn failover_backoff(&mut self, error: &PollError) -> Option<Duration> {
@@ -320,19 +204,6 @@
         self.sources.record_failure()
     }
 
-    fn log_problems(&self) {
-        for problem in self.subscription.entry_errors() {
-            eprintln!("client-proxy: discovery: endpoint entry ignored: {problem}");
-        }
-    }
-
-    /// Stores the list for the next process.
-    fn publish_list(&self, index: u64) {
-        let (Some(state), Some(raw)) = (&self.state, &self.subscription.reader().raw_entries) else { return };
-        let endpoints: Vec<Value> = raw.borrow().values().cloned().collect();
-        state.publish_list(json!({"index": index, "snapshot": true, "endpoints": endpoints}));
-    }
-
     /// Logs the first of several failures in a row. Returns the backoff before the next poll, for the mode in
     /// which the balancer does not set one.
     fn record_failure(&mut self, error: &PollError) -> Duration {
--- a/client-proxy/src/discovery/tests.rs
+++ b/client-proxy/src/discovery/tests.rs
@@ -1,4 +1,5 @@
 use discovery_proto::EndpointLocations;
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::{LocalSet, yield_now};
