Do not take the slow beginning of a response for one of its pauses

What it meant: an endless response that began in a few bytes each 200 ms and then came in two bursts of 30 KiB, 200 ms apart, was waited for up to 740 ms past its client's deadline.

Cause: ResponsePace lets the next kilobyte take half as long again as the slowest one so far, and the first one, which the beginning in small pieces had stretched to 600 ms, counted as well.

Change: only kilobytes after the first one count.

slow_beginning_does_not_extend_the_time fails without the change (1.3 s for 1.1 s).

--- a/client-proxy/src/response_forwarding/pace.rs
+++ b/client-proxy/src/response_forwarding/pace.rs
@@ -82,7 +82,10 @@
         }
         let step = *self.last_step.get_or_insert(Mark { at: waited, received: 0 });
         if self.received - step.received >= STEP_BYTES {
-            self.longest_step = self.longest_step.max(waited - step.at);
+            // A slow beginning says nothing about the pauses between later pieces.
+            if step.received > 0 {
+                self.longest_step = self.longest_step.max(waited - step.at);
+            }
             self.last_step = Some(Mark { at: waited, received: self.received });
         }
     }
--- a/client-proxy/src/response_forwarding/pace/tests.rs
+++ b/client-proxy/src/response_forwarding/pace/tests.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// A slow beginning does not extend the time for later pieces.
+#[test]
+fn slow_beginning_does_not_extend_the_time() {
+    let beginning = regular(0, 200, 16, 3);
+    let pieces = regular(600, 200, 30 * KIB, 2);
+    let until = pace(beginning.into_iter().chain(pieces)).steady_until();
+    assert_eq!(until, Some(ms(800) + ms(300)));
+}
+
 /// A response that came steadily and then only in a few bytes now and then stops being steady.
 #[test]
 fn few_bytes_do_not_extend_the_time() {
