Say which steps of a response count for the time of the next one

Need: the comment of STEP_TOLERANCE named all steps, but the first one does not count.

Change: the comment alone.

--- a/client-proxy/src/response_forwarding/pace.rs
+++ b/client-proxy/src/response_forwarding/pace.rs
@@ -15,7 +15,7 @@
 const CHUNK_RESOLUTION: Duration = Duration::from_millis(5);
 /// A response makes progress in steps of at least this many bytes: a few bytes now and then are no progress.
 const STEP_BYTES: u64 = 1024;
-/// The next step may take longer than the slowest one so far by this factor, since pauses vary.
+/// The next step may take longer than the slowest one after the first by this factor, since pauses vary.
 const STEP_TOLERANCE: f64 = 1.5;
 /// The least time for the next step. A response that stops at its limit, 400 ms past the client's deadline, ends
 /// within the 550 ms after which its request counts as lost.
