Let a steady long response pause for as long as its earlier pauses allow

What callers saw: an order server gives 144 KiB without a length in pieces of 24 KiB, 650 ms apart.

Cause: ResponsePace lets the next kilobyte take half as long again as the slowest one so far, but MAX_STEP_TIMEOUT cut that to 500 ms. Pauses of over 333 ms therefore had less than they had shown, and those of 500 ms and more always ended the response. Ruled out: the rate (36.9 KiB/s, over the lowest of 32), and the limit itself (the pace counted as steady until 500 ms were over).

Change: 2 s in place of 500 ms. A limit below brings nothing: 550 ms past the deadline an endless response is lost, whenever it ends.

regular_long_response_is_not_cut_off fails without the change (20,000 bytes each 500 ms: ended after 1.04 s).

--- a/client-proxy/src/response_forwarding/pace.rs
+++ b/client-proxy/src/response_forwarding/pace.rs
@@ -20,8 +20,8 @@
 /// The least time for the next step. A response that stops at its limit, 400 ms past the client's deadline, ends
 /// within the 550 ms after which its request counts as lost.
 const MIN_STEP_TIMEOUT: Duration = Duration::from_millis(150);
-/// The longest time for the next step.
-const MAX_STEP_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest time for the next step. An endpoint that holds the rest of a response back for longer has stalled.
+const MAX_STEP_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Bytes that arrived together.
 #[derive(Clone, Copy, Debug, Default)]
--- a/client-proxy/src/response_forwarding/tests.rs
+++ b/client-proxy/src/response_forwarding/tests.rs
@@ -183,6 +183,22 @@
     assert_eq!(ends_after_pieces(regular).1, 6 * (24 << 10), "six pieces, 375 ms apart");
 }
 
+/// A long response in regular pieces goes on past the limit for short ones, however far apart they are: the next
+/// piece counted as overdue after 500 ms, even if all earlier ones had taken longer.
+#[test]
+fn regular_long_response_is_not_cut_off() {
+    const BYTES_PER_MS: u64 = 40;
+    for interval_ms in (50..=750).step_by(50) {
+        let bytes = (interval_ms * BYTES_PER_MS) as usize;
+        let first = (Duration::from_millis(40), bytes);
+        let count = MAX_BUFFERED_BODY / bytes;
+        let rest = (0..count).map(|_| (Duration::from_millis(interval_ms), bytes));
+        let (ended, forwarded) = ends_after_pieces(std::iter::once(first).chain(rest));
+        let context = format!("{bytes} bytes each {interval_ms} ms: ended after {ended:?}");
+        assert!(forwarded > MAX_BUFFERED_BODY as u64, "{context}");
+    }
+}
+
 /// A long response in pieces of any size, at no less than 50 kB/s: its pieces from the one that exceeds
 /// 64 KiB on are of no interest, since it counts as long then.
 fn random_long_response(rng: &mut Pcg32) -> Vec<(Duration, usize)> {
