Split the testbed's injection of faults by what they affect

Need: inject in testbed/src/events/injection.rs was one function of 240 lines with a case for each of 25 faults.

Change: each fault is a method now, in one module each for processes, order servers, links and discovery; inject only selects the method. Moved only: the random draws of each fault are made in the same order as before.

--- a/testbed/src/events.rs
+++ b/testbed/src/events.rs
@@ -1,8 +1,12 @@
 //! Injects the faults of a scenario at their scheduled times.
 
+mod discovery_faults;
 mod injection;
+mod link_faults;
+mod process_faults;
 mod processes;
 mod selection;
+mod server_faults;
 
 pub use self::processes::{check_processes, sample_usage};
 
