--- a/testbed/src/discovery.rs
+++ b/testbed/src/discovery.rs
@@ -70,6 +70,8 @@
     /// snapshot.
     full_snapshot_until: Cell<usize>,
     stale: Cell<Seconds>,
+    /// How much longer each poll takes. Other polls need not wait for it.
+    delay: Cell<Duration>,
     /// Since when it has served the current list without a fault; infinite while a fault is active.
     healthy_since: Cell<Seconds>,
     removed: RefCell<Vec<bool>>,
@@ -104,6 +106,7 @@
             lie: Cell::new(None),
             full_snapshot_until: Cell::new(0),
             stale: Cell::new(0.0),
+            delay: Cell::new(Duration::ZERO),
             healthy_since: Cell::new(f64::NEG_INFINITY),
             removed,
             last_polled,
@@ -187,6 +190,11 @@
         self.faults_changed();
     }
 
+    /// Sets how much longer each new poll takes.
+    pub fn set_delay(&self, delay: Duration) {
+        self.delay.set(delay);
+    }
+
     /// Sets whether polls are accepted without ever being answered.
     pub fn set_stalled(&self, stalled: bool) {
         self.stalled.set(stalled);
@@ -261,6 +269,7 @@
             Ok(_poll_guard) => sleep(self.settings.poll_duration).await,
             Err(_) => return empty_response(StatusCode::SERVICE_UNAVAILABLE),
         }
+        sleep(self.delay.get()).await;
         let after = parameter("after").map(|after| after as usize);
         if let Some(after) = after {
             let wait = Duration::from_millis(parameter("wait_ms").unwrap_or(0)).min(MAX_WATCH_WAIT);
--- a/testbed/src/events/discovery_faults.rs
+++ b/testbed/src/events/discovery_faults.rs
@@ -32,6 +32,13 @@
         self.discovery.set_stalled(false);
     }
 
+    pub(super) async fn slow_discovery_down(&self, by: Duration, lasts: Duration) {
+        self.record_fault(format!("polls take {by:?} longer"));
+        self.discovery.set_delay(by);
+        sleep(lasts).await;
+        self.discovery.set_delay(Duration::ZERO);
+    }
+
     pub(super) async fn let_discovery_lie(&self, lie: Lie, lasts: Duration) {
         self.record_fault(format!("discovery lies: {lie:?}"));
         self.discovery.set_lie(Some(lie));
--- a/testbed/src/events/injection.rs
+++ b/testbed/src/events/injection.rs
@@ -47,6 +47,7 @@
             Fault::Reset { links } => self.reset(&links, rng),
             Fault::DiscoveryDown { lasts } => self.take_discovery_down(lasts).await,
             Fault::DiscoverySilent { lasts } => self.silence_discovery(lasts).await,
+            Fault::DiscoverySlow { by, lasts } => self.slow_discovery_down(by, lasts).await,
             Fault::DiscoveryLies { lie, lasts } => self.let_discovery_lie(lie, lasts).await,
             Fault::DiscoveryStale { by, lasts } => self.make_discovery_stale(by, lasts).await,
             Fault::DiscoveryMoved {} => self.move_discovery().await,
--- a/testbed/src/scenario/fault.rs
+++ b/testbed/src/scenario/fault.rs
@@ -233,6 +233,15 @@
         #[serde(with = "humantime_serde")]
         lasts: Duration,
     },
+    /// Each poll of discovery takes longer, also those at a new address.
+    DiscoverySlow {
+        /// Added time of each poll.
+        #[serde(with = "humantime_serde")]
+        by: Duration,
+        /// Duration of the fault.
+        #[serde(with = "humantime_serde")]
+        lasts: Duration,
+    },
     /// Discovery moves to another address, which client proxies learn from their configuration file and
     /// SIGHUP. The old address accepts no new connections, and closes the open ones after 1.5 s.
     DiscoveryMoved {},
