Move the superseded polls from the client proxy to the discovery client

Need: relays drop polls that time out as well, and are to keep them in the same way. The code stood in the client proxy.

Change: SupersededPolls is in discovery-client. How long polls are waited for, and what the caller has to know of each, are given by the caller. The client proxy gives what it had before: 1.5 s, and a SupersededPoll.

--- a/client-proxy/src/discovery.rs
+++ b/client-proxy/src/discovery.rs
@@ -4,7 +4,6 @@
 
 mod polling;
 mod source_selector;
-mod superseded_polls;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -12,8 +11,8 @@
 use std::time::Duration;
 
 use balancer::{DiscoveryMode as Mode, EndpointUpdate};
-use discovery_client::{DiscoveryConnection, PollError};
-use discovery_proto::{ListReader, PollTiming, Subscription};
+use discovery_client::{DiscoveryConnection, PollError, SupersededPolls};
+use discovery_proto::{ListReader, PollTiming, Subscription, SupersededPoll};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use serde_json::Value;
@@ -27,13 +26,15 @@
 use crate::process_state::ProcessState;
 
 pub use self::source_selector::SourceSelector;
-use self::superseded_polls::SupersededPolls;
 
 /// Minimum time between polls that discovery should have held open but returned at once, which could
 /// otherwise go on in a tight loop. Well below 200 ms, the time within which a watch has to be resumed.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long readiness waits for the first response of discovery if endpoints are known from before.
 const FIRST_POLL_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a superseded poll is waited for: an earlier address closes its connections this long after the
+/// reload ("Reloading" in the operators' terms).
+const SUPERSEDED_POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Follows the endpoint list.
 pub struct Discovery {
@@ -45,7 +46,7 @@
     subscription: Subscription<EndpointPool>,
     rng: Pcg32,
     connection: Option<DiscoveryConnection>,
-    superseded_polls: SupersededPolls,
+    superseded_polls: SupersededPolls<SupersededPoll>,
     /// Address of the last poll.
     last_address: Option<SocketAddr>,
     failing: bool,
@@ -81,7 +82,7 @@
             state,
             rng: Pcg32::seed_from_u64(seed),
             connection: None,
-            superseded_polls: SupersededPolls::default(),
+            superseded_polls: SupersededPolls::new(SUPERSEDED_POLL_TIMEOUT),
             last_address: None,
             failing: false,
             ready: watch::Sender::new(false),
--- a/client-proxy/src/discovery/polling.rs
+++ b/client-proxy/src/discovery/polling.rs
@@ -3,13 +3,12 @@
 use std::time::Duration;
 
 use balancer::{DiscoveryMode as Mode, EndpointUpdate};
-use discovery_client::{DiscoveryResponse, PollError, dial, exchange, list_request, origin_time};
+use discovery_client::{DiscoveryResponse, Exchange, PollError, dial, exchange, list_request, origin_time};
 use discovery_proto::{ListResponse, ReceivedAt, SupersededPoll};
 use hyper::HeaderMap;
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::superseded_polls::Exchange;
 use super::{Discovery, MIN_POLL_INTERVAL};
 
 /// Part of the timeout of a poll: discovery counts as unreachable if a dial takes longer.
--- a/discovery-client/src/lib.rs
+++ b/discovery-client/src/lib.rs
@@ -2,6 +2,8 @@
 //! `discovery_proto`.
 #![forbid(unsafe_code)]
 
+mod superseded_polls;
+
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::{Duration, UNIX_EPOCH};
@@ -19,6 +21,8 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+pub use self::superseded_polls::{Exchange, SupersededPolls};
+
 /// Why a poll has no usable response.
 #[derive(Debug, Error)]
 pub enum PollError {
--- a/client-proxy/src/discovery/superseded_polls.rs
+++ b/discovery-client/src/superseded_polls.rs
@@ -9,63 +9,64 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use discovery_client::{DiscoveryResponse, PollError};
-use discovery_proto::SupersededPoll;
 use tokio::time::{Timeout, timeout};
 
-/// How long a superseded poll is waited for: an earlier address closes its connections this long after the
-/// reload ("Reloading" in the operators' terms).
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+use crate::{DiscoveryResponse, PollError};
+
 /// How many superseded polls are waited for, each with a connection of its own. The oldest ones are kept, since
 /// their responses are due first.
 const MAX_POLLS: usize = 3;
 
 /// The exchange of a poll: connects if necessary, sends the request and reads the response.
-pub(super) type Exchange = Pin<Box<dyn Future<Output = Result<DiscoveryResponse, PollError>>>>;
+pub type Exchange = Pin<Box<dyn Future<Output = Result<DiscoveryResponse, PollError>>>>;
 
-struct PendingPoll {
-    poll: SupersededPoll,
+struct PendingPoll<T> {
+    poll: T,
     exchange: Pin<Box<Timeout<Exchange>>>,
 }
 
-/// The superseded polls that are waited for. See the module documentation.
-#[derive(Default)]
-pub(super) struct SupersededPolls {
+/// The superseded polls that are waited for, each with what the caller has to know of it. See the module
+/// documentation.
+pub struct SupersededPolls<T> {
+    response_timeout: Duration,
     /// The oldest first.
-    polls: Vec<PendingPoll>,
+    polls: Vec<PendingPoll<T>>,
 }
 
-impl SupersededPolls {
+impl<T> SupersededPolls<T> {
+    /// Each poll will be waited for during `response_timeout` after it has been added.
+    pub fn new(response_timeout: Duration) -> SupersededPolls<T> {
+        SupersededPolls { response_timeout, polls: Vec::new() }
+    }
+
     /// Adds a poll that has just been superseded.
-    pub(super) fn add(&mut self, poll: SupersededPoll, exchange: Exchange) {
+    pub fn add(&mut self, poll: T, exchange: Exchange) {
         if self.polls.len() < MAX_POLLS {
-            let exchange = Box::pin(timeout(RESPONSE_TIMEOUT, exchange));
+            let exchange = Box::pin(timeout(self.response_timeout, exchange));
             self.polls.push(PendingPoll { poll, exchange });
         }
     }
 
     /// Drops all of them: a later poll has been answered.
-    pub(super) fn clear(&mut self) {
+    pub fn clear(&mut self) {
         self.polls.clear();
     }
 
     /// Waits for the next response. Older polls are dropped then. Failed polls and those that have timed out
     /// are dropped too, and without any poll left this never completes.
-    pub(super) async fn next_response(&mut self) -> (SupersededPoll, DiscoveryResponse) {
+    pub async fn next_response(&mut self) -> (T, DiscoveryResponse) {
         poll_fn(|cx| self.poll_next_response(cx)).await
     }
 
-    fn poll_next_response(&mut self, cx: &mut Context<'_>) -> Poll<(SupersededPoll, DiscoveryResponse)> {
+    fn poll_next_response(&mut self, cx: &mut Context<'_>) -> Poll<(T, DiscoveryResponse)> {
         // The newest first: its response makes those of the older ones obsolete.
         for position in (0..self.polls.len()).rev() {
-            let PendingPoll { poll, exchange } = &mut self.polls[position];
-            let Poll::Ready(result) = exchange.as_mut().poll(cx) else { continue };
-            let poll = *poll;
+            let Poll::Ready(result) = self.polls[position].exchange.as_mut().poll(cx) else { continue };
+            let PendingPoll { poll, .. } = self.polls.remove(position);
             if let Ok(Ok(response)) = result {
-                self.polls.drain(..=position);
+                self.polls.drain(..position);
                 return Poll::Ready((poll, response));
             }
-            self.polls.remove(position);
         }
         Poll::Pending
     }
