--- a/discovery-relay/tests/common/mod.rs
+++ b/discovery-relay/tests/common/mod.rs
@@ -57,6 +57,8 @@
     entries: BTreeMap<String, Entry>,
     behavior: Behavior,
     polls: Vec<String>,
+    /// How long it works on each poll before it looks at its list.
+    delay: Duration,
     /// Additional header lines of a healthy response.
     headers: String,
 }
@@ -79,6 +81,7 @@
             entries,
             behavior: Behavior::Healthy,
             polls: Vec::new(),
+            delay: Duration::ZERO,
             headers: String::new(),
         };
         let address = listener.local_addr().expect("a bound address");
@@ -125,6 +128,11 @@
         self.changes.send_replace(());
     }
 
+    /// Makes each poll from now on take this much longer.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state.lock().expect("not poisoned").delay = delay;
+    }
+
     /// Adds these header lines to healthy responses from now on.
     pub fn add_headers(&self, lines: &str) {
         self.state.lock().expect("not poisoned").headers = lines.to_owned();
@@ -152,6 +160,8 @@
                 path.split(['?', '&']).find_map(|part| part.strip_prefix(name)?.parse().ok())
             };
             let (after, wait) = (number("after="), Duration::from_millis(number("wait_ms=").unwrap_or(0)));
+            let delay = self.state.lock().expect("not poisoned").delay;
+            sleep(delay).await;
             let mut changes = self.changes.subscribe();
             let is_unchanged = || {
                 let state = self.state.lock().expect("not poisoned");
--- a/discovery-relay/tests/propagation.rs
+++ b/discovery-relay/tests/propagation.rs
@@ -135,6 +135,23 @@
     wait_for_status(&lower, "shop", version, "shop-5", "DELETED").await;
 }
 
+/// A source that takes longer for each poll than the relay waits. Its late responses have to be used: each poll
+/// was dropped when it timed out, and the relay never received a change.
+#[tokio::test]
+async fn change_of_slow_source_arrives_in_time() {
+    let source = FakeSource::start(&["shop-1", "shop-2"]).await;
+    let relay = Relay::start(&[source.address], "");
+    relay.wait_for_list().await;
+    source.change(&["shop-1"], "DRAINING");
+    let (version, _) = wait_for_status(&relay, "shop", 10, "shop-1", "DRAINING").await;
+    source.set_delay(Duration::from_millis(2_500));
+    source.wait_for_poll().await;
+    source.wait_for_poll().await;
+    source.change(&["shop-2"], "DRAINING");
+    let (_, arrival) = wait_for_status(&relay, "shop", version, "shop-2", "DRAINING").await;
+    assert!(arrival < MAX_PROPAGATION, "{arrival:?}");
+}
+
 /// A downstream may move to a relay that has an older version. An older list would undo changes, so the relay
 /// rejects the request until it has caught up.
 #[tokio::test]
