Reject a list of discovery that is older than what a superseded poll has brought

What it meant: discovery prepares a whole list, an order server begins to drain, the old address tells of it on the poll that is kept, and then the new address writes the list from before.

Cause: after a change of address the session compares no versions, since another discovery might count its own.

Change: the session remembers the newest version that superseded polls have brought. Lists that were requested afterwards are applied whatever their version.

response_from_before_a_change_does_not_undo_it ("undone before the next poll") and response_older_than_that_of_superseded_poll_is_rejected fail without the change.

--- a/client-proxy/src/discovery/tests.rs
+++ b/client-proxy/src/discovery/tests.rs
@@ -136,39 +136,48 @@
     address
 }
 
-async fn serve_polls(mut stream: tokio::net::TcpStream, mut behavior: watch::Receiver<ServerBehavior>) {
+/// The head of the next poll; `None` once the connection is closed.
+async fn read_head(stream: &mut tokio::net::TcpStream) -> Option<String> {
     let mut head = Vec::new();
-    while let Ok(byte) = stream.read_u8().await {
-        head.push(byte);
-        if !head.ends_with(b"\r\n\r\n") {
-            continue;
-        }
-        let path = String::from_utf8(std::mem::take(&mut head)).expect("no message head");
-        let path = path.split(' ').nth(1).expect("missing path").to_owned();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    Some(String::from_utf8(head).expect("no message head"))
+}
+
+/// Responds with a full snapshot of the endpoint, or without any change.
+async fn respond(
+    stream: &mut tokio::net::TcpStream,
+    behavior: &ServerBehavior,
+    has_changed: bool,
+) -> std::io::Result<()> {
+    let endpoints = match has_changed {
+        true => json!([{"name": behavior.endpoint, "address": "127.0.0.1:9", "status": "SERVING"}]),
+        false => json!([]),
+    };
+    let body = json!({"index": behavior.index, "snapshot": has_changed, "endpoints": endpoints}).to_string();
+    let response = match behavior.is_rejecting {
+        true => "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        false => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()),
+    };
+    stream.write_all(response.as_bytes()).await
+}
+
+async fn serve_polls(mut stream: tokio::net::TcpStream, mut behavior: watch::Receiver<ServerBehavior>) {
+    while let Some(head) = read_head(&mut stream).await {
+        let path = head.split(' ').nth(1).expect("missing path");
         let number = |name: &str| {
             let found = path.split(['?', '&']).find_map(|part| part.strip_prefix(name));
             found.map(|digits| digits.parse::<u64>().expect("not a number"))
         };
         let (after, wait) = (number("after="), Duration::from_millis(number("wait_ms=").unwrap_or(0)));
-        let has_changed = |behavior: &ServerBehavior| {
-            behavior.is_rejecting || after.is_none_or(|after| after < behavior.index)
-        };
-        let _ = timeout(wait, behavior.wait_for(has_changed)).await;
+        let has_changed = |behavior: &ServerBehavior| after.is_none_or(|after| after < behavior.index);
+        let _ =
+            timeout(wait, behavior.wait_for(|behavior| behavior.is_rejecting || has_changed(behavior))).await;
         let delay = behavior.borrow().delay;
         sleep(delay).await;
         let behavior = behavior.borrow().clone();
-        let endpoints = match after.is_none_or(|after| after < behavior.index) {
-            true => json!([{"name": behavior.endpoint, "address": "127.0.0.1:9", "status": "SERVING"}]),
-            false => json!([]),
-        };
-        let is_snapshot = endpoints != json!([]);
-        let body =
-            json!({"index": behavior.index, "snapshot": is_snapshot, "endpoints": endpoints}).to_string();
-        let response = match behavior.is_rejecting {
-            true => "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_owned(),
-            false => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()),
-        };
-        if stream.write_all(response.as_bytes()).await.is_err() {
+        if respond(&mut stream, &behavior, has_changed(&behavior)).await.is_err() {
             return;
         }
     }
--- a/client-proxy/src/discovery/tests/address_changes.rs
+++ b/client-proxy/src/discovery/tests/address_changes.rs
@@ -1,5 +1,7 @@
 //! Several changes of discovery's address in a row.
 
+use std::pin::pin;
+
 use super::*;
 
 /// The time that [`advance_time`] takes, and the resolution of timers.
@@ -135,3 +137,34 @@
         });
     }
 }
+
+/// The new address responds with a list from before a change that the old address has written meanwhile. The
+/// list must not take the change back, also not until the next poll.
+#[test]
+fn response_from_before_a_change_does_not_undo_it() {
+    for mode in [Mode::Push, Mode::Pull] {
+        run(async {
+            let (old, behavior_sender) = discovery(ServerBehavior::immediate(41, "old")).await;
+            let client = DiscoveryClient::start(mode, 1, old);
+            client.wait_until_listed("old").await;
+            advance_time().await;
+            let listener = listen().await;
+            client.addresses_sender.send_replace(listener.local_addr().expect("no local address"));
+            let (mut stream, _) = accept_poll(&listener).await;
+            read_head(&mut stream).await.expect("no poll");
+            behavior_sender.send_modify(|behavior| (behavior.index, behavior.endpoint) = (42, "new"));
+            client.wait_until_listed("new").await;
+            respond(&mut stream, &ServerBehavior::immediate(41, "old"), true)
+                .await
+                .expect("connection closed");
+            let since = Instant::now();
+            let mut next_poll = pin!(read_head(&mut stream));
+            while timeout(Duration::ZERO, &mut next_poll).await.is_err() {
+                assert!(client.has("new"), "{mode:?}: the change was undone");
+                assert!(since.elapsed() < EFFECTIVE_WITHIN, "{mode:?}: no further poll");
+                advance_time().await;
+            }
+            assert!(client.has("new"), "{mode:?}: the change was undone before the next poll");
+        });
+    }
+}
--- a/discovery-proto/src/session.rs
+++ b/discovery-proto/src/session.rs
@@ -146,7 +146,7 @@
 
 impl SupersededPoll {
     /// Whether this response may be applied, on top of the list as it was when the poll was superseded.
-    pub fn accepts(&self, response: ResponseSummary) -> bool {
+    fn accepts(&self, response: ResponseSummary) -> bool {
         let ResponseSummary { index, full_snapshot, unreadable, .. } = response;
         if full_snapshot {
             self.newest.is_none_or(|newest| index >= newest)
@@ -186,13 +186,25 @@
     newest: Option<u64>,
     /// The number of consecutive full snapshots older than `newest`.
     older_snapshots: u32,
+    /// The newest version that superseded polls have brought since the last response that was applied.
+    late_version: Option<u64>,
+    /// Whether `late_version` arrived after the poll under way was sent, whose response may be older then.
+    is_overtaken: bool,
 }
 
 impl Session {
     /// Starts with a resync. `cached` is the version of a list from an earlier process, if polls may ask for
     /// the changes after it.
     pub fn new(timing: PollTiming, cached: Option<u64>) -> Session {
-        Session { timing, state: State::Resyncing, version: cached, newest: None, older_snapshots: 0 }
+        Session {
+            timing,
+            state: State::Resyncing,
+            version: cached,
+            newest: None,
+            older_snapshots: 0,
+            late_version: None,
+            is_overtaken: false,
+        }
     }
 
     /// The next poll.
@@ -223,10 +235,23 @@
     }
 
     /// The poll that is under way, which the caller is about to repeat.
-    pub fn supersede_poll(&self) -> SupersededPoll {
+    pub fn supersede_poll(&mut self) -> SupersededPoll {
+        self.is_overtaken = false;
         SupersededPoll { after: self.version, newest: self.newest }
     }
 
+    /// Records the complete response to a superseded poll, and decides whether to apply it. The next poll stays
+    /// as it is.
+    pub fn on_superseded_response(&mut self, poll: SupersededPoll, response: ResponseSummary) -> Verdict {
+        let is_older = self.late_version.is_some_and(|late| response.index < late);
+        if is_older || !poll.accepts(response) {
+            return Verdict::Rejected;
+        }
+        self.late_version = Some(response.index);
+        self.is_overtaken = true;
+        Verdict::Applied
+    }
+
     /// The version of the current list; `None` if the next poll has to request a full snapshot.
     pub fn version(&self) -> Option<u64> {
         self.version
@@ -241,6 +266,7 @@
     /// have newer changes.
     pub fn source_changed(&mut self) {
         self.state = State::Resyncing;
+        self.is_overtaken = false;
     }
 
     /// The next poll goes to a different discovery, whose versions cannot be compared with those seen so far:
@@ -249,10 +275,24 @@
         (self.newest, self.older_snapshots) = (None, 0);
     }
 
+    /// Whether discovery prepared this response before the version that a superseded poll has brought since.
+    /// Applied, it would undo that version. Only a version from that of the list on can be compared.
+    fn would_undo_late_version(&self, response: ResponseSummary) -> bool {
+        let ResponseSummary { index, full_snapshot, readable, .. } = response;
+        self.is_overtaken
+            && (full_snapshot || readable > 0)
+            && self.version.is_none_or(|version| index >= version)
+            && self.late_version.is_some_and(|late| index < late)
+    }
+
     /// Records a complete response that could be parsed, and decides whether to apply it.
     pub fn on_response(&mut self, response: ResponseSummary) -> Verdict {
         let ResponseSummary { index, full_snapshot, readable, unreadable } = response;
-        let is_valid = if full_snapshot {
+        let is_overtaken = self.would_undo_late_version(response);
+        self.is_overtaken = false;
+        let is_valid = if is_overtaken {
+            false
+        } else if full_snapshot {
             // A response delayed on its way must not overwrite a newer list. If discovery itself was set back
             // to an older version, it repeats that version in the next full snapshot.
             let is_older = self.newest.is_some_and(|newest| index < newest);
@@ -276,6 +316,7 @@
             State::Watching
         };
         (self.state, self.version, self.newest, self.older_snapshots) = (next, Some(index), Some(index), 0);
+        self.late_version = None;
         Verdict::Applied
     }
 
@@ -288,6 +329,7 @@
             _ => (MIN_BACKOFF, true),
         };
         self.state = State::BackingOff { backoff, is_extended };
+        self.is_overtaken = false;
         if invalid_response {
             self.version = None;
         }
--- a/discovery-proto/src/session/tests.rs
+++ b/discovery-proto/src/session/tests.rs
@@ -148,6 +148,25 @@
     assert!(first.accepts(FULL_SNAPSHOT) && !first.accepts(CHANGE), "there is no list to change yet");
 }
 
+/// A superseded poll brings a version that is newer than the response to the poll under way, which discovery
+/// had prepared before. That response must not undo it: the next one, prepared since, replaces the list.
+#[test]
+fn response_older_than_that_of_superseded_poll_is_rejected() {
+    for stale in [FULL_SNAPSHOT, ResponseSummary { index: 42, ..FULL_SNAPSHOT }, CHANGE] {
+        let mut session = watching();
+        let superseded = session.supersede_poll();
+        session.source_changed();
+        session.reset_versions();
+        let newer = ResponseSummary { index: 43, ..CHANGE };
+        assert_eq!(session.on_superseded_response(superseded, newer), Verdict::Applied);
+        let older = ResponseSummary { index: 42, ..CHANGE };
+        assert_eq!(session.on_superseded_response(superseded, older), Verdict::Rejected);
+        assert_eq!(session.on_response(stale), Verdict::Rejected, "{stale:?}");
+        assert_eq!(session.next_poll().after, None, "{stale:?}");
+        assert_eq!(session.on_response(FULL_SNAPSHOT), Verdict::Applied, "prepared since");
+    }
+}
+
 /// If a fleet shares one discovery, a watch that starts with a separate poll adds to discovery's queue, and a
 /// poll that times out while it is still queued has been worked on for nothing. So the resync starts the
 /// watch and waits for as long as polls are queued, and the sum stays within the bound on staleness all the
--- a/discovery-proto/src/subscription.rs
+++ b/discovery-proto/src/subscription.rs
@@ -108,7 +108,7 @@
     }
 
     /// The poll that is under way, which the caller is about to repeat.
-    pub fn supersede_poll(&self) -> SupersededPoll {
+    pub fn supersede_poll(&mut self) -> SupersededPoll {
         self.session.supersede_poll()
     }
 
@@ -158,7 +158,7 @@
     ) -> Result<Option<EndpointUpdate>, EndpointListError> {
         let response = self.parse_response(body)?;
         let has_news = response.summary.full_snapshot || !response.is_empty;
-        if !has_news || !poll.accepts(response.summary) {
+        if !has_news || self.session.on_superseded_response(poll, response.summary) == Verdict::Rejected {
             return Ok(None);
         }
         let full_snapshot = response.summary.full_snapshot;
