--- a/client-proxy/src/discovery.rs
+++ b/client-proxy/src/discovery.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use balancer::{DiscoveryMode as Mode, EndpointUpdate};
+use balancer::{DiscoveryMode as Mode, EndpointEntry, EndpointUpdate};
 use discovery_client::{DiscoveryConnection, PollError, SupersededPolls};
 use discovery_proto::{ListReader, PollTiming, Subscription, SupersededPoll};
 use rand_core::{Rng, SeedableRng};
@@ -95,53 +95,54 @@
     }
 
     /// Follows the list for as long as the program runs, starting from the list that was `known` before.
-    pub async fn run(
-        mut self,
-        known: Option<Value>,
-        mut commands: mpsc::UnboundedReceiver<DiscoveryCommand>,
-    ) {
-        let mut has_cached_list = false;
-        match known.map(serde_json::from_value) {
-            Some(Ok(list)) => {
-                // In `Push` mode the full snapshot costs nothing extra, so the old version is not
-                // resumed from.
-                let entries =
-                    self.subscription.restore(list, self.mode == Mode::Pull, self.driver.clock().now());
-                self.log_problems();
-                if !entries.is_empty() {
-                    let ready = self.ready.clone();
-                    spawn_local(async move {
-                        sleep(FIRST_POLL_TIMEOUT).await;
-                        ready.send_replace(true);
-                    });
-                }
-                self.driver.apply_endpoint_update(EndpointUpdate::CachedSnapshot(entries));
-                has_cached_list = true;
-            }
-            Some(Err(error)) => eprintln!("client-proxy: cached endpoint list ignored: {error}"),
-            None => {}
-        }
-        if !has_cached_list {
-            // The balancer needs a first snapshot, even if no list is known.
-            self.driver.apply_endpoint_update(EndpointUpdate::CachedSnapshot(Vec::new()));
-        }
+    pub async fn run(mut self, known: Option<Value>, commands: mpsc::UnboundedReceiver<DiscoveryCommand>) {
+        let cached = known.and_then(|list| self.restore_cached_list(list));
+        // The balancer needs a first snapshot, even if no list is known.
+        self.driver.apply_endpoint_update(EndpointUpdate::CachedSnapshot(cached.unwrap_or_default()));
         self.driver.apply_operator_overrides();
         match self.mode {
             Mode::Push => self.follow().await,
-            Mode::Pull => loop {
-                let command = tokio::select! {
-                    command = commands.recv() => command,
-                    // A new address ends the balancer's backoff after a failure, which concerned the old
-                    // address.
-                    () = self.sources.wait_for_move() => Some(DiscoveryCommand::Watch),
-                    (poll, response) = self.superseded_polls.next_response() => {
-                        self.apply_superseded_response(poll, &response);
-                        continue;
-                    }
-                };
-                let Some(command) = command else { return };
-                self.poll_for(command).await;
-            },
+            Mode::Pull => self.follow_commands(commands).await,
+        }
+    }
+
+    /// The endpoints of the list that an earlier process left; `None` if it cannot be read. The process becomes
+    /// ready with them if discovery does not respond soon.
+    fn restore_cached_list(&mut self, list: Value) -> Option<Vec<EndpointEntry>> {
+        let list = match serde_json::from_value(list) {
+            Ok(list) => list,
+            Err(error) => {
+                eprintln!("client-proxy: cached endpoint list ignored: {error}");
+                return None;
+            }
+        };
+        // In `Push` mode the full snapshot costs nothing extra, so the old version is not resumed from.
+        let entries = self.subscription.restore(list, self.mode == Mode::Pull, self.driver.clock().now());
+        self.log_problems();
+        if !entries.is_empty() {
+            let ready = self.ready.clone();
+            spawn_local(async move {
+                sleep(FIRST_POLL_TIMEOUT).await;
+                ready.send_replace(true);
+            });
+        }
+        Some(entries)
+    }
+
+    /// `Pull` mode: polls whenever the balancer says so.
+    async fn follow_commands(&mut self, mut commands: mpsc::UnboundedReceiver<DiscoveryCommand>) {
+        loop {
+            let command = tokio::select! {
+                command = commands.recv() => command,
+                // A new address ends the balancer's backoff after a failure, which concerned the old address.
+                () = self.sources.wait_for_move() => Some(DiscoveryCommand::Watch),
+                (poll, response) = self.superseded_polls.next_response() => {
+                    self.apply_superseded_response(poll, &response);
+                    continue;
+                }
+            };
+            let Some(command) = command else { return };
+            self.poll_for(command).await;
         }
     }
 
