Log and count the reasons of refusals, failed attempts, retries and closes

Change: [log] level = "debug" in the second configuration gives a line with the request's id for each refusal, failed attempt and retry, and one for each close of a client connection; [metrics] reasons = true adds the same as counts to INFO. Both are off by default. The line for a truncated response has the id and the bytes forwarded.

Unit tests and those of the operators' address pass.

--- a/client-proxy/src/admin.rs
+++ b/client-proxy/src/admin.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -39,6 +40,8 @@
     pub driver: Rc<Driver>,
     /// Becomes true once there are endpoints to send requests to.
     pub ready: watch::Receiver<bool>,
+    /// INFO also says why requests were refused, attempts ended and connections closed.
+    pub has_metrics: bool,
 }
 
 /// A valid command.
@@ -68,6 +71,14 @@
 }
 
 impl Admin {
+    fn metrics_json(&self) -> Value {
+        let mut metrics = self.driver.metrics_json();
+        if self.has_metrics {
+            metrics["reasons"] = self.driver.diagnostics().to_json();
+        }
+        metrics
+    }
+
     async fn reply(&self, line: &[u8]) -> String {
         match parse_command(line) {
             Err(problem) => format!("-ERR {problem}\n"),
@@ -75,7 +86,7 @@
             Ok(Command::Ping) => "-ERR not ready\n".to_owned(),
             Ok(Command::Detach(id)) => reply_line(self.driver.detach(id).await, "out of use"),
             Ok(Command::Attach(id)) => reply_line(self.driver.attach(id).await, "in use"),
-            Ok(Command::Info) => format!("{}\n.\n", self.driver.metrics_json()),
+            Ok(Command::Info) => format!("{}\n.\n", self.metrics_json()),
         }
     }
 }
--- a/client-proxy/src/clients.rs
+++ b/client-proxy/src/clients.rs
@@ -12,7 +12,7 @@
 use balancer::Settings;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Version};
@@ -23,9 +23,10 @@
 use self::client_io::ClientIo;
 use self::connection_state::{ConnectionState, FIRST_REQUEST_TIMEOUT};
 use self::response_body::ResponseBody;
+use crate::diagnostics::{CloseReason, RefusalReason};
 use crate::driver::{Driver, FinalOutcome, FinalResponse};
 use crate::endpoint_pool::{BUFFER_SIZE, EndpointPool, Served, UpstreamBody};
-use crate::headers::strip_hop_by_hop_headers;
+use crate::headers::{request_id, strip_hop_by_hop_headers};
 use crate::memory_budget::MemoryBudget;
 use crate::monitored_stream::{Io, MonitoredStream};
 use crate::names::Names;
@@ -81,7 +82,7 @@
     /// The client closed the connection or broke the protocol.
     Finished,
     /// The client does not read its response or does not send its request.
-    Stalled,
+    Stalled(CloseReason),
     /// The process is shutting down, and no response is pending.
     Closable,
 }
@@ -113,7 +114,7 @@
     // whether it has disconnected.
     builder.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(BUFFER_SIZE).half_close(true);
     let mut put_back_before = 0;
-    loop {
+    let reason = loop {
         let io = ClientIo { io: Io(Rc::clone(&stream)), kill_imminent: kill_imminent.clone() };
         let close_responses_before = conn.close_responses.get();
         let service = service_fn(|request| respond_to(request, Rc::clone(&context), Rc::clone(&conn)));
@@ -124,8 +125,11 @@
             HttpEnd::Finished if conn.close_responses.get() > close_responses_before => {
                 conn.request_end().wait_until_reached(LINGER_TIME).await
             }
-            HttpEnd::Finished => break,
-            HttpEnd::Stalled => return,
+            HttpEnd::Finished => break CloseReason::ByClient,
+            HttpEnd::Stalled(reason) => {
+                context.driver.diagnostics().connection_closed(reason);
+                return;
+            }
             HttpEnd::Closable => {
                 conn.request_end().finish_buffered();
                 conn.request_end().is_reached()
@@ -133,21 +137,25 @@
         };
         if !is_end_reached {
             // The unread rest of the body would be parsed as the next request.
-            break;
+            break CloseReason::UnreadBody;
         }
         // hyper has read pipelined requests, or part of one, into its buffer. Closing now would lose them, so
         // they are put back and served by a new HTTP connection.
         let put_back = stream.put_back(&http.into_parts().read_buf);
         if put_back == 0 {
-            break;
+            break match context.shutdown.draining.is_cancelled() {
+                true => CloseReason::Shutdown,
+                false => CloseReason::AskedToReconnect,
+            };
         }
         if kill_imminent.is_cancelled() && put_back == put_back_before {
             // A partial request; the rest of it would arrive too late.
             stream.write_now(LATE_REQUEST_REJECTED);
-            break;
+            break CloseReason::Shutdown;
         }
         put_back_before = put_back;
-    }
+    };
+    context.driver.diagnostics().connection_closed(reason);
     // Closing over an unread rest of a request would reset the connection, and the client could lose the
     // response.
     stream.drain(LINGER_TIME).await;
@@ -166,8 +174,8 @@
         // A client that disconnects or sends invalid HTTP (which gets 400) affects only its own connection.
         _ = http => HttpEnd::Finished,
         // So does a client that does not read its responses or send its request in time.
-        _ = conn.wait_for_read_timeout() => HttpEnd::Stalled,
-        _ = conn.wait_for_head_timeout() => HttpEnd::Stalled,
+        _ = conn.wait_for_read_timeout() => HttpEnd::Stalled(CloseReason::ReadTimeout),
+        _ = conn.wait_for_head_timeout() => HttpEnd::Stalled(CloseReason::HeadTimeout),
         never = conn.drain_bodies() => match never {},
         _ = closable => HttpEnd::Closable,
     }
@@ -210,6 +218,8 @@
     if request.body().is_end_stream() {
         end.mark_reached();
     }
+    let id = request_id(request.headers()).to_owned();
+    let refused = |reason| context.driver.diagnostics().request_refused(&id, reason);
     let leave_unread = |request: Request<Incoming>| {
         end.leave_unread(Unread::PacedBody(PacedBody::new(request.into_body(), LINGER_TIME)));
     };
@@ -227,6 +237,7 @@
     };
     if context.shutdown.kill_imminent.is_cancelled() {
         leave_unread(request);
+        refused(RefusalReason::Shutdown);
         // Never forwarded, so a retry is safe.
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
@@ -238,6 +249,7 @@
         _ = context.shutdown.kill_imminent.cancelled() => {
             // The rest of the body would arrive too late.
             end.abandon();
+            refused(RefusalReason::Shutdown);
             return empty_response(StatusCode::BAD_GATEWAY);
         }
     };
@@ -245,6 +257,7 @@
         Ok(response) => response,
         Err(error) => {
             end.abandon();
+            refused(error.refusal_reason());
             let mut response = empty_response(error.status());
             response.body_mut().body = UpstreamBody::Buffered(format!("{error}\n").into());
             // The next bytes may belong to the body of the rejected request and must not be parsed as a
@@ -261,6 +274,12 @@
     response
 }
 
+/// Refuses a request that was never forwarded, so that a retry is safe.
+fn refuse(context: &ClientContext, headers: &HeaderMap, reason: RefusalReason) -> Response<ResponseBody> {
+    context.driver.diagnostics().request_refused(request_id(headers), reason);
+    empty_response(StatusCode::SERVICE_UNAVAILABLE)
+}
+
 fn build_response(FinalResponse { outcome, recorder, forwarder }: FinalResponse) -> Response<ResponseBody> {
     match outcome {
         FinalOutcome::Served(Served { body, content_type, memory }) => {
@@ -312,7 +331,7 @@
         // The rest of the body is drained, so that requests pipelined behind it are not lost.
         Err(BodyError::NoMemory) => {
             end.leave_unread(Unread::PacedBody(body));
-            return Ok(empty_response(StatusCode::SERVICE_UNAVAILABLE));
+            return Ok(refuse(context, &head.headers, RefusalReason::NoMemory));
         }
         result => result?,
     };
@@ -324,7 +343,7 @@
         // request on another connection; forwarding it here too could run its effect twice. It was never
         // forwarded, so a retry is safe.
         end.leave_unread(Unread::PacedBody(body));
-        return Ok(empty_response(StatusCode::SERVICE_UNAVAILABLE));
+        return Ok(refuse(context, &head.headers, RefusalReason::AfterReconnect));
     }
     // The client's timeout counts from the last byte of its request. Time that the request waited for our
     // memory budget also counts.
@@ -374,7 +393,7 @@
     if request.streamed_body().is_none() && conn.stream.read_ahead_for_end().is_some() {
         // The client has closed its writing side while its request waited to be read: an attempt would be
         // wasted.
-        return Ok(empty_response(StatusCode::SERVICE_UNAVAILABLE));
+        return Ok(refuse(context, &request.headers, RefusalReason::ClientClosed));
     }
     Ok(build_response(
         context.driver.submit(metadata, request).final_response(decision_margin - slack).await?,
--- a/client-proxy/src/clients/response_body.rs
+++ b/client-proxy/src/clients/response_body.rs
@@ -86,8 +86,8 @@
         }
         let error = self.error.take();
         if let (Some(error), Some(recorder)) = (&error, self.recorder.take()) {
-            eprintln!("client-proxy: response truncated: {error}");
-            recorder.record_truncated();
+            let forwarded = self.forwarder.as_ref().map_or(0, ResponseForwarder::forwarded);
+            recorder.record_truncated(error, forwarded);
         }
         Poll::Ready(error.map(Err))
     }
--- a/client-proxy/src/config.rs
+++ b/client-proxy/src/config.rs
@@ -9,6 +9,7 @@
 
 use crate::config_error::ConfigError;
 use crate::fleet_config::{FleetConfig, Relays};
+use crate::logging::LogConfig;
 use crate::names::Names;
 
 /// Limit of open descriptors if the configuration sets none.
@@ -42,6 +43,10 @@
     pub settings: Settings,
     /// Names, in the order of the numbers in `settings`.
     pub names: Names,
+    /// Which events are logged.
+    pub log: LogConfig,
+    /// INFO also says why requests were refused, attempts ended and connections closed.
+    pub has_metrics: bool,
 }
 
 /// Values from environment variables, which override those in the file.
@@ -90,6 +95,8 @@
         let mut config = Config::new(&text, overrides)?;
         fleet.apply(&mut config.settings, &mut config.names);
         config.relays = fleet.relays().cloned();
+        config.log = fleet.log();
+        config.has_metrics = fleet.has_metrics();
         Ok(config)
     }
 
@@ -160,6 +167,8 @@
             cached_list: file.known,
             settings,
             names,
+            log: LogConfig::default(),
+            has_metrics: false,
         })
     }
 }
--- a/client-proxy/src/discovery.rs
+++ b/client-proxy/src/discovery.rs
@@ -112,7 +112,7 @@
         let list = match serde_json::from_value(list) {
             Ok(list) => list,
             Err(error) => {
-                eprintln!("client-proxy: cached endpoint list ignored: {error}");
+                tracing::info!("cached endpoint list ignored: {error}");
                 return None;
             }
         };
@@ -211,7 +211,7 @@
     fn record_failure(&mut self, error: &PollError) -> Duration {
         if !self.failing {
             self.failing = true;
-            eprintln!("client-proxy: discovery poll failed: {error}");
+            tracing::info!("discovery poll failed: {error}");
         }
         self.subscription.on_failure(error.is_invalid_response())
     }
--- a/client-proxy/src/discovery/polling.rs
+++ b/client-proxy/src/discovery/polling.rs
@@ -29,12 +29,12 @@
         self.connection = Some(connection);
         if self.failing {
             self.failing = false;
-            eprintln!("client-proxy: discovery responds again");
+            tracing::info!("discovery responds again");
         }
         let (index, update, empty_watch) = match response {
             ListResponse::Applied { index, update, empty_watch } => (index, update, empty_watch),
             ListResponse::Rejected { index } => {
-                eprintln!("client-proxy: discovery: version {index} rejected: fetching a full snapshot");
+                tracing::info!("discovery: version {index} rejected: fetching a full snapshot");
                 sleep(MIN_POLL_INTERVAL).await;
                 return Ok(());
             }
@@ -116,7 +116,7 @@
             }
             Ok(None) => {}
             Err(error) => {
-                eprintln!("client-proxy: late response of discovery ignored: {error}");
+                tracing::info!("late response of discovery ignored: {error}");
             }
         }
     }
@@ -130,7 +130,7 @@
     /// Logs which entries of the last list could not be parsed.
     pub(super) fn log_problems(&self) {
         for problem in self.subscription.entry_errors() {
-            eprintln!("client-proxy: discovery: endpoint entry ignored: {problem}");
+            tracing::info!("discovery: endpoint entry ignored: {problem}");
         }
     }
 
--- a/client-proxy/src/driver.rs
+++ b/client-proxy/src/driver.rs
@@ -25,6 +25,7 @@
 use self::actions::attempt_end;
 use self::metrics::OutcomeCounts;
 use crate::clock::{Clock, unix_ms};
+use crate::diagnostics::Diagnostics;
 use crate::endpoint_pool::{AttemptResult, EndpointPool};
 use crate::names::Names;
 use crate::process_state::{ProcessState, State};
@@ -90,6 +91,7 @@
     outcomes: RefCell<Vec<OutcomeCounts>>,
     /// Requests that were completely received and have not ended.
     requests_in_progress: Cell<usize>,
+    diagnostics: Diagnostics,
 }
 
 impl Driver {
@@ -125,10 +127,16 @@
             locality,
             outcomes,
             requests_in_progress,
+            diagnostics: Diagnostics::default(),
         };
         Ok(Rc::new(driver))
     }
 
+    /// Why requests, attempts and connections ended.
+    pub fn diagnostics(&self) -> &Diagnostics {
+        &self.diagnostics
+    }
+
     /// The clock whose time the balancer is given.
     pub fn clock(&self) -> Clock {
         self.clock
@@ -233,7 +241,8 @@
         let (timeout, body_pending) = (timeout.as_secs_f64() * 1e3, request.streamed_body().is_some());
         let class = metadata.class;
         self.handle_event(Event::Request(NewRequest { id, timeout, body_pending, metadata }));
-        let recorder = OutcomeRecorder { class, is_counted, driver: Rc::clone(self) };
+        let recorder =
+            OutcomeRecorder { id: request.id().into(), class, is_counted, driver: Rc::clone(self) };
         ResponseTicket { id, request, outcome, recorder: Some(recorder), driver: Rc::clone(self) }
     }
 
@@ -288,6 +297,7 @@
                 // same.
                 let _ = reply.send(FinalOutcome::Served(served));
             }
+            self.diagnostics.attempt_ended(pending.request.id(), attempt, result.outcome);
             let latency = result.service_time.unwrap_or_else(|| in_flight.sent.elapsed());
             attempt_end(
                 id,
--- a/client-proxy/src/driver/actions.rs
+++ b/client-proxy/src/driver/actions.rs
@@ -19,6 +19,7 @@
                 let Some(pending) = state.requests.get_mut(&id) else { return };
                 let attempt = attempt as usize;
                 if let Some(in_flight) = pending.attempts.get_mut(attempt).and_then(Option::take) {
+                    self.diagnostics.attempt_ended(pending.request.id(), attempt, Outcome::Cancelled);
                     let (latency, request_ended) = (in_flight.sent.elapsed(), pending.reply.is_none());
                     let load_report = LoadReport::default();
                     let event = attempt_end(
@@ -47,13 +48,11 @@
             // The receiver lives as long as the program, so a failed send means that the program is exiting.
             Action::Watch => drop(self.commands.send(DiscoveryCommand::Watch)),
             Action::Fetch => drop(self.commands.send(DiscoveryCommand::Fetch)),
-            Action::Log(line) => eprintln!("client-proxy: {line}"),
+            Action::Log(line) => tracing::info!("{line}"),
             // The balancer does not use these actions at present. Should that change, the log has to show
             // that they are missing here.
             Action::Probe { .. } | Action::SendToPeer { .. } => {
-                eprintln!(
-                    "client-proxy: balancer action ignored: probes and peer messages are not implemented"
-                );
+                tracing::info!("balancer action ignored: probes and peer messages are not implemented");
             }
         }
     }
@@ -85,6 +84,7 @@
             state.pending_events.push_back(event);
             return;
         }
+        self.diagnostics.attempt_began(pending.request.id(), attempt);
         let (cancel, cancelled) = oneshot::channel::<()>();
         pending.attempts.push(Some(InFlightAttempt { sent, _cancel: cancel }));
         let until = timeout.map(|timeout| sent + duration_from_ms(timeout));
--- a/client-proxy/src/driver/metrics.rs
+++ b/client-proxy/src/driver/metrics.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 
 use super::Driver;
+use crate::endpoint_pool::ResponseError;
 
 /// Outcomes of the requests of one class.
 #[derive(Clone, Copy, Default)]
@@ -66,6 +67,8 @@
 
 /// Records the outcome of a request and counts it as in progress until this is dropped.
 pub struct OutcomeRecorder {
+    /// The client's id of the request.
+    pub(super) id: Box<str>,
     pub(super) class: usize,
     pub(super) is_counted: Rc<Cell<bool>>,
     pub(super) driver: Rc<Driver>,
@@ -80,7 +83,8 @@
 
     /// Corrects the outcome of a streamed response that was truncated: it was counted as served when its
     /// forwarding began.
-    pub fn record_truncated(&self) {
+    pub fn record_truncated(&self, error: &ResponseError, forwarded: u64) {
+        tracing::info!(id = %self.id, forwarded, "response truncated: {error}");
         self.record(|outcomes| {
             outcomes.served -= 1;
             outcomes.failed += 1;
--- a/client-proxy/src/driver/response_ticket.rs
+++ b/client-proxy/src/driver/response_ticket.rs
@@ -7,6 +7,7 @@
 use tokio::sync::oneshot;
 
 use super::{Driver, OutcomeRecorder};
+use crate::diagnostics::RefusalReason;
 use crate::endpoint_pool::{Served, UpstreamBody};
 use crate::monitored_stream::HangUp;
 use crate::request_body::BodyError;
@@ -23,6 +24,17 @@
     Failed,
 }
 
+impl FinalOutcome {
+    /// Why no endpoint served the request; `None` if one did.
+    fn refusal_reason(&self) -> Option<RefusalReason> {
+        match self {
+            FinalOutcome::Served(_) => None,
+            FinalOutcome::Rejected(_) => Some(RefusalReason::Rejected),
+            FinalOutcome::Failed => Some(RefusalReason::Failed),
+        }
+    }
+}
+
 /// The final response to a request, and what its connection needs to forward it.
 pub struct FinalResponse {
     /// The complete response, or the beginning of a streamed one.
@@ -73,16 +85,22 @@
                 }
             }
         };
+        let mut is_overdue = false;
         let outcome = tokio::select! {
             biased;
             error = body_failed => return Err(error),
             outcome = &mut self.outcome => outcome.unwrap_or(FinalOutcome::Failed),
             _ = pending_response.overdue() => {
-                eprintln!("client-proxy: request timed out: no response from the balancer by the deadline");
+                tracing::info!(id = request.id(), "request timed out: no response by the deadline");
+                is_overdue = true;
                 FinalOutcome::Failed
             }
             error = disconnected => return Err(error),
         };
+        if let Some(reason) = outcome.refusal_reason() {
+            let reason = if is_overdue { RefusalReason::Overdue } else { reason };
+            self.driver.diagnostics.request_refused(request.id(), reason);
+        }
         // The only place that counts outcomes: every final response to a client passes here.
         let recorder = self.recorder.take();
         if let Some(recorder) = &recorder {
--- a/client-proxy/src/fleet_config.rs
+++ b/client-proxy/src/fleet_config.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 
 use crate::config_error::ConfigError;
+use crate::logging::LogConfig;
 use crate::names::Names;
 
 /// The tables of the file.
@@ -21,6 +22,10 @@
     zones: Option<Zones>,
     /// `[discovery]`: relays between discovery and this client proxy.
     discovery: Option<Relays>,
+    /// `[log]`: which events are logged.
+    log: Option<LogConfig>,
+    /// `[metrics]`: more metrics for operators.
+    metrics: Option<Metrics>,
 }
 
 /// `[discovery]`: relays that are polled instead of the address that the platform configures. See
@@ -37,6 +42,13 @@
     pub authority: String,
 }
 
+/// `[metrics]`: INFO also says why requests were refused, attempts ended and connections closed.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Metrics {
+    reasons: bool,
+}
+
 /// `[zones]`: the zones and their regions.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -98,6 +110,16 @@
         self.discovery.as_ref()
     }
 
+    /// Which events are logged.
+    pub fn log(&self) -> LogConfig {
+        self.log.unwrap_or_default()
+    }
+
+    /// Whether INFO includes reasons.
+    pub fn has_metrics(&self) -> bool {
+        self.metrics.as_ref().is_some_and(|metrics| metrics.reasons)
+    }
+
     /// Applies the tables to the settings and names. A zone that `zones.regions` does not list belongs to a
     /// region of its own. One more zone number is added for all endpoints whose zone has no known name.
     pub fn apply(&self, settings: &mut Settings, names: &mut Names) {
--- a/client-proxy/src/fleet_config/tests.rs
+++ b/client-proxy/src/fleet_config/tests.rs
@@ -14,6 +14,8 @@
         ("[discovery]\nnear = [\"10.0.0.1:1\"]\nauthority = \"a b\"", "discovery.authority"),
         ("[discovery]\nnear = [\"nowhere\"]\nauthority = \"a\"", "line 2"),
         ("[discovery]\nnear = [\"10.0.0.1:1\"]", "line 1"),
+        ("[log]\nlevel = \"loud\"", "line 2"),
+        ("[metrics]\nreason = true", "line 2"),
     ] {
         let message = FleetConfig::read("f.toml", text).expect_err(text).to_string();
         assert!(message.contains("f.toml") && message.contains(expected), "{message}");
--- a/client-proxy/src/headers.rs
+++ b/client-proxy/src/headers.rs
@@ -6,6 +6,14 @@
 /// sent to endpoints.
 pub static X_REMAINING_MS: HeaderName = HeaderName::from_static("x-remaining-ms");
 
+/// The client's id of a request.
+pub static X_TXN: HeaderName = HeaderName::from_static("x-txn");
+
+/// The client's id of a request, for logs; empty if it is not text.
+pub fn request_id(headers: &HeaderMap) -> &str {
+    headers.get(&X_TXN).and_then(|id| id.to_str().ok()).unwrap_or_default()
+}
+
 /// Removes hop-by-hop headers and those that are set anew for the next hop.
 pub fn strip_hop_by_hop_headers(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
--- a/client-proxy/src/main.rs
+++ b/client-proxy/src/main.rs
@@ -7,12 +7,14 @@
 mod clock;
 mod config;
 mod config_error;
+mod diagnostics;
 mod discovery;
 mod driver;
 mod endpoint_pool;
 mod fleet_config;
 mod headers;
 mod inherit;
+mod logging;
 mod memory_budget;
 mod monitored_stream;
 mod names;
@@ -69,6 +71,7 @@
             return ExitCode::from(2);
         }
     };
+    logging::init(config.log);
     // Has to run before the runtime opens descriptors of its own: the inherited descriptor is adopted by its
     // number.
     let inherited = env::var(inherit::INHERITED_FD_VARIABLE).ok().filter(|text| !text.is_empty());
@@ -99,6 +102,8 @@
         cached_list,
         settings,
         names,
+        log: _,
+        has_metrics,
     } = config;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -141,8 +146,8 @@
     );
     let longest_deadline = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
     if let Some(admin_listener) = admin_listener {
-        eprintln!("client-proxy: {name} answers operators on {}", admin_listener.local_addr()?);
-        let admin = Admin { driver: Rc::clone(&driver), ready: discovery.ready() };
+        tracing::info!("{name} answers operators on {}", admin_listener.local_addr()?);
+        let admin = Admin { driver: Rc::clone(&driver), ready: discovery.ready(), has_metrics };
         spawn_local(admin::serve(admin_listener, Rc::new(admin)));
     }
     if listener_shared {
@@ -174,19 +179,19 @@
     // If the folder responds promptly, the stored state is loaded before the first request.
     let _ = timeout(EXPECTED_STATE_FOLDER_TIME, started.cancelled()).await;
     let mut accept_loop = spawn_local(accept::serve(listener, Rc::new(context)));
-    eprintln!("client-proxy: {name} listens on {bound}");
+    tracing::info!("{name} listens on {bound}");
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = hangup.recv() => match Config::reread_discovery() {
                 Ok(address) => {
-                    eprintln!("client-proxy: {name}: configuration reloaded: discovery address is {address}");
+                    tracing::info!("{name}: configuration reloaded: discovery address is {address}");
                     discovery_address.send_replace(address);
                 }
                 // An unreadable file does not stop the proxy, and the old address may still respond, so it is
                 // kept.
-                Err(error) => eprintln!("client-proxy: {name}: reload failed, discovery unchanged: {error}"),
+                Err(error) => tracing::info!("{name}: reload failed, discovery unchanged: {error}"),
             },
             result = &mut accept_loop => return result.map_err(std::io::Error::other),
         }
@@ -196,7 +201,7 @@
         _ = accept_loop => return Ok(()),
         _ = shutdown.run(duration_from_ms(longest_deadline)) => {}
     }
-    eprintln!("client-proxy: {name}: shutdown timed out: closing connections with unread responses");
+    tracing::info!("{name}: shutdown timed out: closing connections with unread responses");
     Ok(())
 }
 
@@ -215,7 +220,7 @@
     // state is loaded could send requests to a disabled endpoint.
     let is_read_in_time = timeout(STATE_FOLDER_TIMEOUT, &mut initial_read).await.is_ok();
     if !is_read_in_time {
-        eprintln!("client-proxy: state folder timed out: starting without the state of an earlier process");
+        tracing::info!("state folder timed out: starting without the state of an earlier process");
     }
     let mut has_logged_failure = false;
     let mut is_registered =
@@ -224,7 +229,7 @@
     started.cancel();
     if !is_read_in_time {
         initial_read.await;
-        eprintln!("client-proxy: state folder responds again");
+        tracing::info!("state folder responds again");
         driver.apply_operator_overrides();
     }
     if !listener_shared {
@@ -245,7 +250,7 @@
 async fn register_process(process_state: &ProcessState, has_logged_failure: &mut bool) -> bool {
     let Err(error) = process_state.register_process().await else { return true };
     if !std::mem::replace(has_logged_failure, true) {
-        eprintln!("client-proxy: cannot register this process in the state file, retrying: {error}");
+        tracing::info!("cannot register this process in the state file, retrying: {error}");
     }
     false
 }
--- a/client-proxy/src/process_state.rs
+++ b/client-proxy/src/process_state.rs
@@ -162,7 +162,7 @@
         let newer = read_result.inspect_err(|error| {
             // A lock that the other process holds is not an error.
             if !matches!(error, StateFileError::Locked) && !self.read_failed.replace(true) {
-                eprintln!("client-proxy: cannot read the state file: {error}");
+                tracing::info!("cannot read the state file: {error}");
             }
         })?;
         self.read_failed.set(false);
@@ -172,7 +172,7 @@
             Contents::State(state) => self.state.replace(state.clone()) != state,
             Contents::Missing => false,
             Contents::Unusable(reason) => {
-                eprintln!("client-proxy: state file ignored: {reason}");
+                tracing::info!("state file ignored: {reason}");
                 false
             }
         })
@@ -204,7 +204,7 @@
             if let Err(error) = written
                 && !failed_before
             {
-                eprintln!("client-proxy: cannot write the endpoint list to the state file: {error}");
+                tracing::info!("cannot write the endpoint list to the state file: {error}");
             }
         }
         self.is_writing_list.set(false);
--- a/client-proxy/src/request_head.rs
+++ b/client-proxy/src/request_head.rs
@@ -8,12 +8,12 @@
 use thiserror::Error;
 
 use crate::clients::ClientContext;
-use crate::headers::X_REMAINING_MS;
+use crate::diagnostics::RefusalReason;
+use crate::headers::{X_REMAINING_MS, X_TXN};
 use crate::request_body::BodyError;
 
 /// Longest client timeout that is accepted.
 const MAX_REMAINING_MS: u64 = 600_000;
-static X_TXN: HeaderName = HeaderName::from_static("x-txn");
 static X_LANE: HeaderName = HeaderName::from_static("x-lane");
 static X_ORG: HeaderName = HeaderName::from_static("x-org");
 static X_RESENT: HeaderName = HeaderName::from_static("x-resent");
@@ -43,6 +43,14 @@
 }
 
 impl BadRequest {
+    pub(crate) fn refusal_reason(&self) -> RefusalReason {
+        match self {
+            BadRequest::Body(BodyError::NoMemory) => RefusalReason::NoMemory,
+            BadRequest::Body(_) => RefusalReason::IncompleteBody,
+            _ => RefusalReason::Malformed,
+        }
+    }
+
     pub(crate) fn status(&self) -> StatusCode {
         match self {
             BadRequest::Body(BodyError::Late) => StatusCode::REQUEST_TIMEOUT,
--- a/client-proxy/src/response_forwarding.rs
+++ b/client-proxy/src/response_forwarding.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Bytes that have been forwarded.
+    pub fn forwarded(&self) -> u64 {
+        self.forwarded
+    }
+
     /// Records that more of the response was forwarded.
     pub fn record_forwarded(&mut self, bytes: usize) {
         let now = Instant::now();
--- a/client-proxy/src/shutdown.rs
+++ b/client-proxy/src/shutdown.rs
@@ -31,12 +31,15 @@
     /// Runs all phases. `longest_deadline` is the longest request deadline of the deployment. Returns when
     /// the process has to exit, whatever connections are still open.
     pub async fn run(&self, longest_deadline: Duration) {
+        tracing::info!("shutting down");
         self.terminating.cancel();
         sleep(ACCEPT_PERIOD).await;
+        tracing::info!("no further connections are accepted");
         self.draining.cancel();
         // Ends 0.2 s before the earliest SIGKILL; the process may be stalled for 0.15 s before it writes the
         // responses.
         sleep(longest_deadline.min(MAX_DEADLINE_WAIT)).await;
+        tracing::info!("answering all requests that still wait");
         self.kill_imminent.cancel();
         sleep(READ_PERIOD).await;
     }
--- a/client-proxy/src/upstream_request.rs
+++ b/client-proxy/src/upstream_request.rs
@@ -12,6 +12,7 @@
 use hyper::{Method, Uri};
 use tokio::time::{Instant, sleep_until};
 
+use crate::headers::request_id;
 use crate::monitored_stream::{HangUp, MonitoredStream, PeerStatus};
 use crate::request_body::{BodyError, CHUNK_SIZE, Payload, StreamedRequestBody};
 use crate::request_end::{RequestEnd, Unread};
@@ -119,6 +120,11 @@
         }
     }
 
+    /// The client's id of the request; empty if it is not text.
+    pub fn id(&self) -> &str {
+        request_id(&self.headers)
+    }
+
     /// The body, if it is streamed.
     pub fn streamed_body(&self) -> Option<&StreamedRequestBody> {
         match &self.body.payload {
