Reproduce answers that come late or are cut off with slow endpoints, as failing tests

A client proxy and its clients and endpoints are real processes and connections on loopback; the endpoint stops reading a request of 5 MB, reads it slowly, or gives a response of 80 KiB without a length at 16 to 20 KiB/s.

--- /dev/null
+++ b/client-proxy/tests/slow_endpoints.rs
@@ -0,0 +1,171 @@
+//! Endpoints that take a large request slowly, or give a long response slowly: the client's time counts from
+//! the last byte that it has sent, and a response that its endpoint still gives is not cut off.
+
+mod common;
+
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use common::bodies::*;
+use common::*;
+
+/// How long the clients wait for an answer once they have sent their request.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(700);
+/// After this time past its deadline a request without an answer is lost: half a second, and 50 ms for a
+/// network.
+const LOST_AFTER: Duration = Duration::from_millis(550);
+/// Little enough that the buffers of client, client proxy and systems take all of it, and too much for those on
+/// the way to the endpoint alone.
+const REQUEST_BYTES: usize = 5 << 20;
+
+const RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
+
+/// How an endpoint reads a request.
+#[derive(Clone, Copy, Debug)]
+enum Reading {
+    /// It reads so many bytes and then nothing more.
+    StopAfter(usize),
+    /// It reads so many bytes per second.
+    BytesPerSecond(usize),
+}
+
+/// An endpoint that reads requests in this way and answers each once it has read all of it.
+fn slowly_reading_endpoint(reading: Reading) -> SocketAddr {
+    const INTERVAL: Duration = Duration::from_millis(20);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a loopback port");
+    // What the systems buffer would otherwise take the whole request, whatever the endpoint reads.
+    socket2::SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("no such buffer");
+    let address = listener.local_addr().expect("no local address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("accept failed");
+            std::thread::spawn(move || {
+                let (mut piece, mut read) = (vec![0; 64 * 1024], 0);
+                loop {
+                    let allowed = match reading {
+                        Reading::StopAfter(bytes) if read >= bytes => break,
+                        Reading::StopAfter(bytes) => bytes - read,
+                        Reading::BytesPerSecond(rate) => {
+                            std::thread::sleep(INTERVAL);
+                            rate * INTERVAL.as_millis() as usize / 1000
+                        }
+                    };
+                    match stream.read(&mut piece[..allowed.min(64 * 1024)]) {
+                        Ok(bytes @ 1..) => read += bytes,
+                        _ => return,
+                    }
+                }
+                std::thread::sleep(TEST_TIMEOUT);
+            });
+        }
+    });
+    address
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Coding {
+    Length,
+    Chunked,
+}
+
+fn request(coding: Coding) -> Vec<u8> {
+    let headers = format!("X-Remaining-Ms: {}\r\n", CLIENT_TIMEOUT.as_millis());
+    let head = post_without_length("pay", "").replace("X-Remaining-Ms: 3000\r\n", &headers);
+    let body = pattern(REQUEST_BYTES);
+    let (framing, end) = match coding {
+        Coding::Length => (format!("Content-Length: {REQUEST_BYTES}\r\n\r\n"), ""),
+        Coding::Chunked => {
+            (format!("Transfer-Encoding: chunked\r\n\r\n{REQUEST_BYTES:x}\r\n"), "\r\n0\r\n\r\n")
+        }
+    };
+    [head.as_bytes(), framing.as_bytes(), &body, end.as_bytes()].concat()
+}
+
+/// Sends a request to an endpoint that reads in this way, and returns when the answer came, counted from the
+/// last byte sent.
+fn answered_after(reading: Reading, coding: Coding) -> Duration {
+    let endpoint = slowly_reading_endpoint(reading);
+    let (proxy, _discovery) = proxy_for(&[endpoint]);
+    let mut client = proxy.client();
+    // Fails if the systems take less, and the answer comes before the end of the request.
+    let _ = client.stream.write_all(&request(coding));
+    let sent = Instant::now();
+    let status = client.read().expect("no answer").status();
+    assert!(matches!(status, 502 | 503), "{reading:?} {coding:?}: {status}");
+    sent.elapsed()
+}
+
+fn assert_answered_in_time(readings: &[Reading]) {
+    std::thread::scope(|scope| {
+        for reading in readings {
+            for coding in [Coding::Length, Coding::Chunked] {
+                scope.spawn(move || {
+                    let after = answered_after(*reading, coding);
+                    assert!(after < CLIENT_TIMEOUT + LOST_AFTER, "{reading:?} {coding:?}: {after:?}");
+                });
+            }
+        }
+    });
+}
+
+/// The client has sent all of its request, and most of it waits in the buffers of the systems.
+#[test]
+fn large_request_that_endpoint_stops_reading_is_answered_in_time() {
+    assert_answered_in_time(&[Reading::StopAfter(6_793), Reading::StopAfter(100_000)]);
+}
+
+#[test]
+fn large_request_that_endpoint_reads_slowly_is_answered_in_time() {
+    assert_answered_in_time(&[Reading::BytesPerSecond(70_000), Reading::BytesPerSecond(200_000)]);
+}
+
+/// How an endpoint gives a response without a length.
+#[derive(Clone, Copy, Debug)]
+struct Writing {
+    piece_bytes: usize,
+    interval: Duration,
+}
+
+/// More than the longest response that has to be complete by its client's deadline.
+const LONG_RESPONSE_BYTES: usize = 80 * 1024;
+
+fn slowly_writing_endpoint(writing: Writing) -> SocketAddr {
+    raw_upstream(move |reader, writer| {
+        if read_head(reader).is_none() {
+            return;
+        }
+        let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for piece in pattern(LONG_RESPONSE_BYTES).chunks(writing.piece_bytes) {
+            std::thread::sleep(writing.interval);
+            let chunk = [format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat();
+            if writer.write_all(&chunk).is_err() {
+                return;
+            }
+        }
+        let _ = writer.write_all(b"0\r\n\r\n");
+    })
+}
+
+/// The endpoint gives 16 to 20 KiB per second, and never stops.
+#[test]
+fn slow_steady_long_response_is_not_cut_off() {
+    let writings = [(100, 6), (1024, 50), (8 * 1024, 500)].map(|(piece_bytes, interval_ms)| Writing {
+        piece_bytes,
+        interval: Duration::from_millis(interval_ms),
+    });
+    std::thread::scope(|scope| {
+        for writing in writings {
+            scope.spawn(move || {
+                let (proxy, _discovery) = proxy_for(&[slowly_writing_endpoint(writing)]);
+                let mut client = proxy.client();
+                client.write(&look_request(CLIENT_TIMEOUT.as_millis() as u64));
+                let mut reader = BufReader::new(&mut client.stream);
+                let head = read_head(&mut reader).expect("no response");
+                assert!(head.starts_with("http/1.1 200 "), "{writing:?}: {head}");
+                let body = read_body(&mut reader, &head);
+                assert!(body == Some(pattern(LONG_RESPONSE_BYTES)), "{writing:?}: cut off");
+            });
+        }
+    });
+}
