Count the client's time from when its long request may have been complete

Cause: the client's time began when the client proxy had read the last byte (StreamedRequestBody::mark_complete). While the endpoint takes nothing, nothing is read, and the rest waits in the buffers of the systems, where the client has long written it. Until then the request had no deadline at all (UpstreamRequest::deadline_passed); only an endpoint that took nothing for 5 s ended it. Ruled out: the wait for memory (a single request shows it) and the balancer (the endpoint has the first bytes in time).

Change: RequestArrival tells since when the client may have written all of it: what was read last was not sent before the socket buffer was last empty, at most 4 MiB wait at the client's system, and what arrives while nothing is read and the window is open was written just then. A client that is waited for, or whose rest cannot be written yet, has no deadline, as before.

--- a/client-proxy/src/main.rs
+++ b/client-proxy/src/main.rs
@@ -19,6 +19,7 @@
 mod monitored_stream;
 mod names;
 mod process_state;
+mod request_arrival;
 mod request_body;
 mod request_end;
 mod request_head;
--- a/client-proxy/src/monitored_stream.rs
+++ b/client-proxy/src/monitored_stream.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use rustix::io::retry_on_intr;
+use rustix::io::{ioctl_fionread, retry_on_intr};
 use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -51,6 +51,9 @@
 /// How often to check for an end of stream behind more data than that.
 const READ_AHEAD_RECHECK: Duration = Duration::from_millis(20);
 
+/// Divisor of a receive buffer's size: up to this part of it may be filled with data while the window is open.
+const RECEIVE_BUFFER_SHARE: usize = 4;
+
 /// A peer of unknown status counts as gone once it was last known to be connected this long ago: no attempt
 /// may begin over 100 ms after a client has closed, and the rest is for a process that is stalled.
 const MAX_UNKNOWN_TIME: Duration = Duration::from_millis(50);
@@ -252,6 +255,20 @@
         buffer.length
     }
 
+    /// Number of bytes that have arrived and have not been read, including those read ahead.
+    pub fn unread_bytes(&self) -> usize {
+        // Fails only if the connection has failed, and then nothing more is read.
+        let in_socket_buffer = ioctl_fionread(&self.stream).unwrap_or_default();
+        self.read_ahead_buffer.borrow().length + usize::try_from(in_socket_buffer).unwrap_or(usize::MAX)
+    }
+
+    /// Whether so little is unread that the peer may certainly send more. The system counts its own structures
+    /// against the receive buffer as well.
+    pub fn is_receive_window_open(&self) -> bool {
+        let capacity = SockRef::from(&self.stream).recv_buffer_size().unwrap_or_default();
+        self.unread_bytes() < capacity / RECEIVE_BUFFER_SHARE
+    }
+
     /// Whether no bytes have been read ahead.
     pub fn is_read_ahead_empty(&self) -> bool {
         self.read_ahead_buffer.borrow().length == 0
--- a/client-proxy/src/request_body.rs
+++ b/client-proxy/src/request_body.rs
@@ -13,6 +13,8 @@
 use tokio::time::{Instant, Sleep, sleep, timeout};
 
 use crate::memory_budget::{MemoryBudget, MemoryPermit};
+use crate::monitored_stream::MonitoredStream;
+use crate::request_arrival::{Progress, RequestArrival};
 
 /// A body of up to this size is read completely before the request is forwarded.
 pub const MAX_BUFFERED_BODY: usize = 64 * 1024;
@@ -67,6 +69,11 @@
         self.body.is_end_stream()
     }
 
+    /// Whether all that has been received was taken, and more is waited for.
+    pub fn is_waiting(&self) -> bool {
+        self.waiting_since.is_some()
+    }
+
     /// Total time spent waiting for the client.
     pub fn waited(&self) -> Duration {
         self.waited
@@ -148,7 +155,7 @@
 #[derive(Clone, Copy, PartialEq)]
 enum BodyProgress {
     Receiving,
-    /// The last byte was read at this time.
+    /// The last byte was read, and the client's time counts from this.
     Complete(Instant),
     Failed(BodyError),
 }
@@ -158,6 +165,7 @@
     /// The part that was read first, with its memory permit. Kept for as long as the body can be sent again.
     prefix: RefCell<(Bytes, Option<MemoryPermit>)>,
     rest: RefCell<PacedBody>,
+    arrival: RefCell<RequestArrival>,
     length: Option<u64>,
     progress: watch::Sender<BodyProgress>,
     /// Part of the rest was taken, so no further attempt can send the body.
@@ -174,9 +182,11 @@
         permit: MemoryPermit,
     ) -> StreamedRequestBody {
         let (rest, progress) = (RefCell::new(rest), watch::Sender::new(BodyProgress::Receiving));
+        let arrival = RefCell::new(RequestArrival::new(length, Instant::now()));
         StreamedRequestBody {
             prefix: RefCell::new(prefix),
             rest,
+            arrival,
             length,
             progress,
             is_spent: Cell::new(false),
@@ -206,11 +216,28 @@
         Poll::Ready(next)
     }
 
-    /// Records that the last byte has been read.
-    pub fn mark_complete(&self) {
+    /// Records that the last byte has been read; the client's time counts from `sent_at`.
+    pub fn mark_complete(&self, sent_at: Instant) {
         // The rest can be read only once, so a second attempt would send a truncated body.
         self.discard_prefix();
-        self.progress.send_replace(BodyProgress::Complete(Instant::now()));
+        self.progress.send_replace(BodyProgress::Complete(sent_at));
+    }
+
+    /// The earliest time at which `client` may have sent the last byte; `None` while the client is waited for,
+    /// or more is missing than its system can hold.
+    pub fn may_be_complete_since(&self, client: &MonitoredStream) -> Option<Instant> {
+        let rest = self.rest.borrow();
+        if rest.is_waiting() {
+            return None;
+        }
+        let progress = Progress {
+            read: rest.received,
+            unread: client.unread_bytes() as u64,
+            is_window_open: client.is_receive_window_open(),
+        };
+        let mut arrival = self.arrival.borrow_mut();
+        arrival.record(progress, Instant::now());
+        arrival.may_be_complete_since(client.last_read_sent_after())
     }
 
     /// Frees the prefix: without the rest it is of no use.
@@ -224,7 +251,7 @@
         self.is_spent.get()
     }
 
-    /// When the last byte was read, if it was.
+    /// When the client's time began, if the last byte was read.
     pub fn completed_at(&self) -> Option<Instant> {
         match *self.progress.borrow() {
             BodyProgress::Complete(at) => Some(at),
--- a/client-proxy/src/upstream_request.rs
+++ b/client-proxy/src/upstream_request.rs
@@ -14,6 +14,7 @@
 
 use crate::headers::request_id;
 use crate::monitored_stream::{HangUp, MonitoredStream, PeerStatus};
+use crate::request_arrival::MAX_COMPLETION_ERROR;
 use crate::request_body::{BodyError, CHUNK_SIZE, Payload, StreamedRequestBody};
 use crate::request_end::{RequestEnd, Unread};
 
@@ -22,6 +23,9 @@
 /// that 50 ms are left for a process that is stalled for a moment.
 const DEADLINE_SLACK: Duration = Duration::from_millis(100);
 
+/// How often to check how much of a long request has arrived.
+const ARRIVAL_RECHECK: Duration = Duration::from_millis(20);
+
 /// Body of a forwarded request. On drop it leaves the unread rest to `RequestEnd`.
 pub struct RequestBody {
     payload: Payload,
@@ -163,18 +167,46 @@
         remaining.min(certain.max(DEADLINE_SLACK)).as_millis() as u64
     }
 
-    /// Waits until the client's deadline. Never completes if the body fails.
+    /// Waits until the client's deadline, or until the deadline that it has if its request was complete as soon
+    /// as it may have been. Never completes if the body fails.
     pub async fn deadline_passed(&self) {
-        if let Some(body) = self.streamed_body()
-            && body.wait_until_complete().await.is_err()
-        {
-            return std::future::pending().await;
+        if let Some(body) = self.streamed_body() {
+            tokio::select! {
+                biased;
+                completed = body.wait_until_complete() => if completed.is_err() {
+                    return std::future::pending().await;
+                },
+                _ = self.earliest_deadline_passed(body) => return,
+            }
         }
         if let Some(deadline) = self.deadline() {
             sleep_until(deadline).await;
         }
     }
 
+    /// Waits until a client whose request has not been read completely has waited for as long as it does, if it
+    /// has sent all of it.
+    async fn earliest_deadline_passed(&self, body: &StreamedRequestBody) {
+        let Some(client) = &self.client else { return std::future::pending().await };
+        loop {
+            let sent_at = body.may_be_complete_since(client).map(|since| since + MAX_COMPLETION_ERROR);
+            let now = Instant::now();
+            let deadline = sent_at.map(|sent_at| sent_at + self.client_timeout);
+            if deadline.is_some_and(|deadline| deadline <= now) {
+                return;
+            }
+            let recheck_at = now + ARRIVAL_RECHECK;
+            sleep_until(deadline.map_or(recheck_at, |deadline| deadline.min(recheck_at))).await;
+        }
+    }
+
+    /// From when the client's time counts, if the last byte of the body has just been read.
+    fn completed_at(&self, body: &StreamedRequestBody) -> Instant {
+        let now = Instant::now();
+        let since = self.client.as_ref().and_then(|client| body.may_be_complete_since(client));
+        since.map_or(now, |since| now.min(since + MAX_COMPLETION_ERROR))
+    }
+
     /// Whether an attempt may begin now: the client is connected and has time left. To be called right before
     /// its first byte is written.
     pub fn may_begin(&self) -> bool {
@@ -279,7 +311,7 @@
                 return Poll::Ready(Some(Err(BodyError::Abandoned)));
             }
             if let Some(body) = request.streamed_body() {
-                body.mark_complete();
+                body.mark_complete(request.completed_at(body));
                 request.body.end.mark_reached();
             }
             self.stream.mark_body_handed_over();
