Limit the send buffer of each connection, so that a slow reader does not look stalled

Seen: a client that reads 64 kB/s was cut off after 5 s, 4.0 of 16 MB received (slowly_read_long_response_is_not_cut_off). An endpoint that reads 200 kB/s was given up after 5 s in the same way, found while the late answers were traced.

Cause: a write counts as stalled until the socket is writable again (write_stalled_since in monitored_stream/stream_io.rs), which the system reports once a third of the send buffer is free. That buffer grows to 4 MB, so at 64 kB/s it takes 20 s; STREAM_STALL_TIMEOUT and STALL_TIMEOUT are 5 s.

Change: SO_SNDBUF of each connection is 128 KiB (the system doubles it), of which a third is 1.4 s at 64 kB/s.

Class of fault: progress measured where a buffer hides it.

--- a/client-proxy/src/monitored_stream.rs
+++ b/client-proxy/src/monitored_stream.rs
@@ -51,6 +51,10 @@
 /// How often to check for an end of stream behind more data than that.
 const READ_AHEAD_RECHECK: Duration = Duration::from_millis(20);
 
+/// What the system may hold of the data written to a connection. A socket is writable again once a third of its
+/// buffer is free, and a peer that reads 64 kB/s must not take seconds until then: it would count as stalled.
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
+
 /// Divisor of a receive buffer's size: up to this part of it may be filled with data while the window is open.
 const RECEIVE_BUFFER_SHARE: usize = 4;
 
@@ -96,10 +100,11 @@
 }
 
 impl MonitoredStream {
-    /// Takes over the stream and sets TCP_NODELAY.
+    /// Takes over the stream, sets TCP_NODELAY and limits its send buffer.
     pub fn new(stream: TcpStream, slot: SocketPermit) -> Rc<MonitoredStream> {
-        // Fails only on a broken connection, which the first read or write reports.
+        // These fail only on a broken connection, which the first read or write reports.
         let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
         let (written, has_partial_write, body_handed_over, full_writes) = Default::default();
         let (fully_written_at, first_byte_at, write_stalled_since, read_ahead_buffer, hung_up) =
             Default::default();
