--- /dev/null
+++ b/client-proxy/tests/client_crowds.rs
@@ -0,0 +1,156 @@
+//! Hundreds of clients at once that write slowly, stop in the middle of a request or read slowly, at a client
+//! proxy with the least memory that the platform gives.
+
+mod common;
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use common::bodies::*;
+use common::termination::wait_until_sleeping;
+use common::*;
+use serde_json::json;
+
+const MEMORY_LIMIT_MB: u64 = 32;
+const DESCRIPTOR_LIMIT: u64 = 1024;
+/// Fewer than descriptors allow.
+const CROWD_SIZE: usize = 700;
+/// Longer than a request waits for memory, and long enough for slow clients to write more.
+const OBSERVED_TIME: Duration = Duration::from_millis(900);
+const LONG_RESPONSE_BYTES: usize = 4 << 20;
+/// The most fields that the HTTP library accepts, less those of a complete request.
+const MANY_FIELDS: usize = 85;
+
+/// Fields that are as short as they can be, so that each costs far more than its bytes.
+fn short_fields() -> String {
+    (0..MANY_FIELDS).map(|n| format!("a{n}:\r\n")).collect()
+}
+
+/// A field that fills a head to almost the longest that is accepted.
+fn long_field() -> String {
+    format!("X-Long: {}\r\n", "y".repeat(15_000))
+}
+
+fn partial_head() -> Vec<u8> {
+    (post_without_length("pay", "") + &short_fields() + long_field().trim_end()).into_bytes()
+}
+
+fn partial_request(fields: &str) -> Vec<u8> {
+    let head = post_without_length("pay", "") + fields + "Content-Length: 300000\r\n\r\n";
+    [head.into_bytes(), vec![b'y'; 100_000]].concat()
+}
+
+fn complete_request() -> Vec<u8> {
+    look_request(3000).replace("\r\n\r\n", &format!("\r\n{}\r\n", short_fields())).into_bytes()
+}
+
+/// An upstream with a long response to each request.
+fn long_response_upstream() -> SocketAddr {
+    raw_upstream(|reader, writer| {
+        let response = vec![b'x'; LONG_RESPONSE_BYTES];
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_RESPONSE_BYTES}\r\n\r\n");
+        while let Some(request) = read_head(reader) {
+            if read_body(reader, &request).is_none()
+                || writer.write_all(head.as_bytes()).is_err()
+                || writer.write_all(&response).is_err()
+            {
+                return;
+            }
+        }
+    })
+}
+
+struct Crowd {
+    proxy: Proxy,
+    _discovery: DiscoveryServer,
+    clients: Vec<TcpStream>,
+}
+
+impl Crowd {
+    /// Clients that connect at once and write what the system takes of these texts, in turn.
+    fn start(texts: &[Vec<u8>]) -> Crowd {
+        let upstream = long_response_upstream();
+        let entries = (0..12).map(|n| endpoint(&format!("h{n}"), upstream, "SERVING"));
+        let discovery_server = DiscoveryServer::start(entries.collect());
+        let mut config = config(discovery_server.address, settings());
+        config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": DESCRIPTOR_LIMIT});
+        let proxy = Proxy::start(&config);
+        discovery_server.wait_until_list_received();
+        let clients = texts.iter().cycle().take(CROWD_SIZE).map(|text| {
+            let mut client = TcpStream::connect(proxy.address).expect("could not connect");
+            client.set_nonblocking(true).expect("could not set the mode");
+            match client.write(text) {
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => panic!("could not write: {error}"),
+            }
+            client
+        });
+        let clients = clients.collect();
+        Crowd { proxy, _discovery: discovery_server, clients }
+    }
+
+    /// Has the clients write on slowly, or read slowly, while the client proxy takes what they have sent.
+    fn observe(&mut self) {
+        wait_until_sleeping(self.proxy.child.id());
+        for _ in 0..OBSERVED_TIME.as_millis() / 100 {
+            std::thread::sleep(Duration::from_millis(100));
+            for client in &mut self.clients {
+                // Some are answered and closed in the meantime.
+                let _ = client.write(b"z");
+                let _ = client.read(&mut [0; 512]);
+            }
+        }
+        wait_until_sleeping(self.proxy.child.id());
+    }
+
+    /// The most memory that the process has had, in bytes.
+    fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.proxy.child.id()));
+        let status = status.expect("the process has ended");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("missing field");
+        peak.trim().trim_end_matches(" kB").parse::<u64>().expect("not a number") * 1024
+    }
+
+    /// Asserts that the process has not been beyond its limit, and still answers.
+    fn assert_within_limits(&self, shape: &str) {
+        let peak = self.peak_memory();
+        assert!(peak <= MEMORY_LIMIT_MB * 1_000_000, "{shape}: {peak} bytes");
+        assert_eq!(self.proxy.client().round_trip(READY_REQUEST).status(), 200, "{shape}");
+    }
+}
+
+fn assert_crowd_within_limits(shape: &str, texts: &[Vec<u8>]) {
+    let mut crowd = Crowd::start(texts);
+    crowd.observe();
+    crowd.assert_within_limits(shape);
+}
+
+#[test]
+fn crowd_in_the_middle_of_heads_stays_within_memory() {
+    assert_crowd_within_limits("partial heads", &[partial_head()]);
+}
+
+#[test]
+fn crowd_in_the_middle_of_large_requests_stays_within_memory() {
+    assert_crowd_within_limits("short fields", &[partial_request(&short_fields())]);
+    assert_crowd_within_limits("long field", &[partial_request(&long_field())]);
+}
+
+#[test]
+fn crowd_that_reads_slowly_stays_within_memory() {
+    assert_crowd_within_limits("slow readers", &[complete_request()]);
+}
+
+#[test]
+fn mixed_crowd_stays_within_memory() {
+    let texts = [
+        partial_head(),
+        partial_request(&short_fields()),
+        complete_request(),
+        partial_request(&long_field()),
+        Vec::new(),
+    ];
+    assert_crowd_within_limits("mixed", &texts);
+}
