Keep long heads, connections at rest and their buffers within the memory limit

Cause: only bodies were in a budget, of 45% of the limit, and at too low a price. Measured for each client: 17.7 KB for a connection at rest, as each read initialised the reader's whole buffer (ReadBuf::initialize_unfilled); some 17 KB for the map of 85 short fields, twice with an attempt; 12 KB for a partial head; 62 KB for a streamed response and 82 KB for a streamed request, for which 48 KB were reserved; 16 KB of a body read before any of it was reserved. Ruled out: a leak (memory is reached in 0.3 s and stays level).

Change: a read goes through the stack and touches what arrived (14 KB at rest). Bodies and heads share what the limit leaves beside the program and the connections that descriptors allow. A head has 4 KiB and 20 fields free; beyond that it takes memory from a pool of its own, or is refused (503) at once, or after 0.5 s where its rest is unread; so more than 4 KiB of a connection are read only into memory that is reserved. A streamed body counts 72 KB. All waits of a request for memory together end after 0.5 s or the client's time: with each wait of its own, an answer could be 2 s late.

Class of fault: memory that is taken before it is accounted for.

--- a/client-proxy/src/clients.rs
+++ b/client-proxy/src/clients.rs
@@ -27,10 +27,10 @@
 use crate::driver::{Driver, FinalOutcome, FinalResponse};
 use crate::endpoint_pool::{BUFFER_SIZE, EndpointPool, Served, UpstreamBody};
 use crate::headers::{request_id, strip_hop_by_hop_headers};
-use crate::memory_budget::MemoryBudget;
-use crate::monitored_stream::{Io, MonitoredStream};
+use crate::memory_budget::{HeadMemory, MemoryBudget};
+use crate::monitored_stream::MonitoredStream;
 use crate::names::Names;
-use crate::request_body::{BodyError, PacedBody, Payload, StreamedRequestBody};
+use crate::request_body::{BodyError, MemoryWait, PacedBody, Payload, StreamedRequestBody};
 use crate::request_end::{RequestEnd, Unread};
 use crate::request_head::{BadRequest, origin_form, read_metadata, read_remaining};
 use crate::shutdown::Shutdown;
@@ -49,9 +49,9 @@
 /// How long a connection is still read after the last response. Closing a socket with unread data sends a
 /// reset, which may destroy the response.
 const LINGER_TIME: Duration = Duration::from_millis(1_000);
-/// Response to a partial request when there is no time left to read the rest. It was never forwarded, so a
+/// Response to a partial request when there is no time or memory left to read the rest. It was never forwarded, so a
 /// retry is safe.
-const LATE_REQUEST_REJECTED: &[u8] =
+const UNREAD_REQUEST_REJECTED: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// State shared by all client connections.
@@ -68,6 +68,8 @@
     pub sockets: Rc<SocketBudget>,
     /// Budget for request bodies.
     pub request_memory: Rc<MemoryBudget>,
+    /// Memory of long request heads.
+    pub head_memory: Rc<HeadMemory>,
     /// Idle upstream connections are evicted from this pool to free slots for clients.
     pub endpoints: Rc<EndpointPool>,
     /// Another process accepts from the same listening socket, so connections left in its queue are not lost
@@ -114,8 +116,9 @@
     // whether it has disconnected.
     builder.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(BUFFER_SIZE).half_close(true);
     let mut put_back_before = 0;
+    let has_refused_head = Rc::new(Cell::new(false));
     let reason = loop {
-        let io = ClientIo { io: Io(Rc::clone(&stream)), kill_imminent: kill_imminent.clone() };
+        let io = ClientIo::new(&conn, &context, Rc::clone(&has_refused_head));
         let close_responses_before = conn.close_responses.get();
         let service = service_fn(|request| respond_to(request, Rc::clone(&context), Rc::clone(&conn)));
         let mut http = builder.serve_connection(TokioIo::new(io), service);
@@ -125,6 +128,11 @@
             HttpEnd::Finished if conn.close_responses.get() > close_responses_before => {
                 conn.request_end().wait_until_reached(LINGER_TIME).await
             }
+            HttpEnd::Finished if has_refused_head.get() => {
+                // The request may be complete behind what has been read of it.
+                stream.write_now(UNREAD_REQUEST_REJECTED);
+                break CloseReason::NoMemory;
+            }
             HttpEnd::Finished => break CloseReason::ByClient,
             HttpEnd::Stalled(reason) => {
                 context.driver.diagnostics().connection_closed(reason);
@@ -150,7 +158,7 @@
         }
         if kill_imminent.is_cancelled() && put_back == put_back_before {
             // A partial request; the rest of it would arrive too late.
-            stream.write_now(LATE_REQUEST_REJECTED);
+            stream.write_now(UNREAD_REQUEST_REJECTED);
             break CloseReason::Shutdown;
         }
         put_back_before = put_back;
@@ -327,14 +335,20 @@
     let client_timeout = read_remaining(&head.headers)?;
     let length = body.size_hint().exact();
     let mut body = PacedBody::new(body, grace);
-    let (prefix, permit, is_complete) = match body.read_prefix(&context.request_memory).await {
-        // The rest of the body is drained, so that requests pipelined behind it are not lost.
-        Err(BodyError::NoMemory) => {
-            end.leave_unread(Unread::PacedBody(body));
-            return Ok(refuse(context, &head.headers, RefusalReason::NoMemory));
-        }
-        result => result?,
+    let mut memory_wait = MemoryWait::new(client_timeout);
+    let Ok(head_memory) = context.head_memory.reserve_fields(head.headers.len()) else {
+        end.leave_unread(Unread::PacedBody(body));
+        return Ok(refuse(context, &head.headers, RefusalReason::NoMemory));
     };
+    let (prefix, permit, is_complete) =
+        match body.read_prefix(&context.request_memory, &mut memory_wait).await {
+            // The rest of the body is drained, so that requests pipelined behind it are not lost.
+            Err(BodyError::NoMemory) => {
+                end.leave_unread(Unread::PacedBody(body));
+                return Ok(refuse(context, &head.headers, RefusalReason::NoMemory));
+            }
+            result => result?,
+        };
     if is_complete {
         end.mark_reached();
     }
@@ -355,7 +369,8 @@
     let (_memory, body) = match is_complete {
         true => (permit, Payload::Buffered(prefix)),
         false => {
-            let streaming_permit = timeout(client_timeout, context.request_memory.reserve_streamed())
+            let time_left = client_timeout.saturating_sub(memory_wait.spent());
+            let streaming_permit = timeout(time_left, context.request_memory.reserve_streamed())
                 .await
                 .ok()
                 .flatten()
@@ -366,6 +381,7 @@
                     (prefix, permit),
                     body,
                     length,
+                    sent_after,
                     streaming_permit,
                 ))),
             )
@@ -389,6 +405,7 @@
         client_timeout,
         client,
         attempts: AttemptState::default(),
+        _head_memory: head_memory,
     };
     if request.streamed_body().is_none() && conn.stream.read_ahead_for_end().is_some() {
         // The client has closed its writing side while its request waited to be read: an attempt would be
--- a/client-proxy/src/clients/client_io.rs
+++ b/client-proxy/src/clients/client_io.rs
@@ -1,18 +1,86 @@
 //! The client stream as hyper sees it.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use super::ClientContext;
+use super::connection_state::ConnectionState;
+use crate::endpoint_pool::BUFFER_SIZE;
+use crate::memory_budget::{HeadMemory, MemoryPermit};
 use crate::monitored_stream::Io;
+use crate::request_body::MEMORY_TIMEOUT;
 
-/// The client stream as hyper sees it: during the last phase of a shutdown it reads no further requests.
+/// Bytes of a head that need no memory from the pool; a usual head is shorter.
+const FREE_HEAD_BYTES: usize = 4 * 1024;
+
+/// Permit for the buffer of a long head, once it is granted.
+type PendingPermit = Pin<Box<dyn Future<Output = Option<MemoryPermit>>>>;
+
+/// The client stream as hyper sees it: during the last phase of a shutdown it reads no further requests, and it
+/// reads no more of a long head than there is memory for.
 pub(super) struct ClientIo {
-    pub(super) io: Io,
-    pub(super) kill_imminent: CancellationToken,
+    io: Io,
+    conn: Rc<ConnectionState>,
+    kill_imminent: CancellationToken,
+    head_memory: Rc<HeadMemory>,
+    /// Bytes read since the last response; 0 while a request is handled.
+    head_bytes: usize,
+    /// Memory for the buffer of the current head, which its request keeps.
+    permit: Option<MemoryPermit>,
+    pending_permit: Option<PendingPermit>,
+    /// A long head found no memory in time, and nothing more is read.
+    has_refused: Rc<Cell<bool>>,
+}
+
+impl ClientIo {
+    /// Sets `has_refused` if a long head finds no memory in time.
+    pub(super) fn new(
+        conn: &Rc<ConnectionState>,
+        context: &ClientContext,
+        has_refused: Rc<Cell<bool>>,
+    ) -> ClientIo {
+        ClientIo {
+            io: Io(Rc::clone(&conn.stream)),
+            conn: Rc::clone(conn),
+            kill_imminent: context.shutdown.kill_imminent.clone(),
+            head_memory: Rc::clone(&context.head_memory),
+            head_bytes: 0,
+            permit: None,
+            pending_permit: None,
+            has_refused,
+        }
+    }
+
+    /// Bytes of the current head, and of what follows it, that may be read on.
+    fn head_limit(&self) -> usize {
+        if self.permit.is_some() { BUFFER_SIZE } else { FREE_HEAD_BYTES - self.head_bytes }
+    }
+
+    /// Ready when the current head may be read on.
+    fn poll_head_memory(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.head_bytes < FREE_HEAD_BYTES || self.permit.is_some() {
+            return Poll::Ready(Ok(()));
+        }
+        let memory = Rc::clone(&self.head_memory);
+        let pending = self.pending_permit.get_or_insert_with(|| {
+            let reserve = async move { memory.reserve_buffer(BUFFER_SIZE - FREE_HEAD_BYTES).await };
+            Box::pin(async move { timeout(MEMORY_TIMEOUT, reserve).await.ok().flatten() })
+        });
+        self.permit = ready!(pending.as_mut().poll(cx));
+        self.pending_permit = None;
+        if self.permit.is_none() {
+            self.has_refused.set(true);
+            return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+        }
+        Poll::Ready(Ok(()))
+    }
 }
 
 impl AsyncRead for ClientIo {
@@ -26,7 +94,18 @@
             // connection.
             return Poll::Pending;
         }
-        Pin::new(&mut self.io).poll_read(cx, buf)
+        if self.conn.is_in_body() {
+            self.head_bytes = 0;
+            return Pin::new(&mut self.io).poll_read(cx, buf);
+        }
+        if self.head_bytes == 0 {
+            self.permit = None;
+        }
+        ready!(self.poll_head_memory(cx))?;
+        let (filled, limit) = (buf.filled().len(), self.head_limit());
+        ready!(self.io.poll_read_up_to(cx, buf, limit))?;
+        self.head_bytes += buf.filled().len() - filled;
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/client-proxy/src/clients/connection_state.rs
+++ b/client-proxy/src/clients/connection_state.rs
@@ -100,6 +100,11 @@
         self.active_requests.get() == 0 && (self.stream.first_byte_at().is_some() || self.is_streaming.get())
     }
 
+    /// Whether what is read next belongs to the body of a request, as far as known, and not to a head.
+    pub(super) fn is_in_body(&self) -> bool {
+        self.active_requests.get() > 0 || !self.request_end().is_reached()
+    }
+
     /// Whether the connection may be closed now, asked of the system and of hyper: no request is being
     /// handled, all responses are in the socket buffer, and no data is waiting to be read. Once the process
     /// is about to be killed, unread data does not count any more: there is no time left for a response.
--- a/client-proxy/src/clients/tests.rs
+++ b/client-proxy/src/clients/tests.rs
@@ -45,6 +45,7 @@
         ready,
         sockets,
         request_memory: memory,
+        head_memory: Rc::new(HeadMemory::new(1 << 20)),
         endpoints,
         listener_shared: false,
         shutdown,
--- a/client-proxy/src/diagnostics.rs
+++ b/client-proxy/src/diagnostics.rs
@@ -24,6 +24,8 @@
     Shutdown,
     /// The rest of a request was not read.
     UnreadBody,
+    /// There was no memory for a long request head.
+    NoMemory,
 }
 
 /// Why a request was answered without an endpoint.
--- a/client-proxy/src/main.rs
+++ b/client-proxy/src/main.rs
@@ -49,7 +49,7 @@
 use crate::discovery::{Discovery, SourceSelector};
 use crate::driver::Driver;
 use crate::endpoint_pool::{EndpointPool, duration_from_ms};
-use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::{HeadMemory, MemoryBudget, available_memory};
 use crate::process_state::ProcessState;
 use crate::shutdown::Shutdown;
 use crate::socket_budget::SocketBudget;
@@ -113,8 +113,10 @@
     let listener = inherited.map_or_else(|| bind("GW_LISTEN", listen), TcpListener::from_std)?;
     let bound = listener.local_addr()?;
     let admin_listener = admin.map(|address| bind("admin_addr", address)).transpose()?;
+    let memory = available_memory(memory, sockets);
     let sockets = SocketBudget::new(sockets, admin_listener.as_ref().map_or(0, |_| admin::MAX_DESCRIPTORS));
     let memory_budgets = [(); 2].map(|()| Rc::new(MemoryBudget::new(memory)));
+    let head_memory = Rc::new(HeadMemory::new(memory));
     let [request_memory, response_memory] = memory_budgets.clone();
     let endpoints = EndpointPool::new(
         Rc::clone(&sockets),
@@ -154,7 +156,8 @@
     if listener_shared {
         let (process_state, sockets, endpoints) =
             (Rc::clone(&process_state), Rc::clone(&sockets), Rc::clone(&endpoints));
-        spawn_local(share_limits_with_peer(process_state, sockets, memory_budgets, endpoints));
+        let head_memory = Rc::clone(&head_memory);
+        spawn_local(share_limits_with_peer(process_state, sockets, memory_budgets, head_memory, endpoints));
     }
     let shutdown = Shutdown::default();
     let context = ClientContext {
@@ -164,6 +167,7 @@
         ready: discovery.ready(),
         sockets,
         request_memory,
+        head_memory: Rc::clone(&head_memory),
         endpoints: Rc::clone(&endpoints),
         listener_shared,
         shutdown: shutdown.clone(),
@@ -262,12 +266,14 @@
     process_state: Rc<ProcessState>,
     sockets: Rc<SocketBudget>,
     memory_budgets: [Rc<MemoryBudget>; 2],
+    head_memory: Rc<HeadMemory>,
     endpoints: Rc<EndpointPool>,
 ) {
     loop {
         let processes = process_state.processes();
         sockets.split_among(processes);
         memory_budgets.iter().for_each(|budget| budget.split_among(processes));
+        head_memory.split_among(processes);
         while sockets.is_exceeded() && endpoints.evict_idle() {
             tokio::task::yield_now().await;
         }
--- a/client-proxy/src/memory_budget.rs
+++ b/client-proxy/src/memory_budget.rs
@@ -1,26 +1,84 @@
-//! Share of the memory limit that bodies may use. Requests and responses have a budget each, since a request
-//! that waits for its response must not reserve memory that responses need. Within a budget buffered and
-//! streamed bodies have separate pools, since a short body should not wait for streams that take seconds. A
-//! holder of a streaming permit never waits for the buffered pool.
+//! Share of the memory limit that bodies and long heads may use. Requests and responses have a budget each, since
+//! a request that waits for its response must not reserve memory that responses need. Within a budget buffered
+//! and streamed bodies have separate pools, since a short body should not wait for streams that take seconds. A
+//! holder of a streaming permit never waits for the buffered pool. Heads have a pool of their own, from which only
+//! those take that are longer than usual.
 
 use std::cell::Cell;
 use std::sync::Arc;
 
+use thiserror::Error;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// Memory of one streamed body: the buffers of both connections and a chunk between them.
-pub const STREAMED_BODY_BYTES: usize = 48 * 1024;
-/// Divisors of the limit: sizes of the pools for buffered and for streamed bodies of one direction. The rest
-/// is for the program, its connections and what malloc leaves unused.
-const BUFFERED_SHARE_DIVISOR: usize = 10;
-const STREAMED_SHARE_DIVISOR: usize = 8;
+/// Memory of one streamed body: the buffers of both connections, beyond those of a connection at rest, and the
+/// chunks between them.
+pub const STREAMED_BODY_BYTES: usize = 72 * 1024;
+/// Memory of the program without connections.
+const PROGRAM_BYTES: usize = 5 << 20;
+/// Memory of one connection at rest, on either side.
+const CONNECTION_BYTES: usize = 18 * 1024;
+/// At least this part of the limit is for heads and bodies, however many connections are allowed.
+const MIN_SHARE_DIVISOR: usize = 5;
+/// Divisors of the memory for heads and bodies: sizes of the pools for buffered and for streamed bodies of one
+/// direction, and for heads. The rest is for what malloc leaves unused.
+const BUFFERED_SHARE_DIVISOR: usize = 8;
+const STREAMED_SHARE_DIVISOR: usize = 4;
+const HEAD_SHARE_DIVISOR: usize = 6;
+/// Fields of a head that need no memory from the pool; a usual head has fewer.
+const FREE_FIELDS: usize = 20;
+/// Memory of one field beyond those: its place in the map of fields, with the reserve that the map keeps, and its
+/// name, both twice, as an attempt has a copy.
+const FIELD_BYTES: usize = 2 * (2 * 112 + 48);
 /// Size of a pool at least, however low the limit.
 const MIN_POOL_BYTES: usize = 256 * 1024;
+/// The same for streamed bodies: a few of them.
+const MIN_STREAMED_POOL_BYTES: usize = 384 * 1024;
 const PERMIT_BYTES: usize = 1024;
 
+/// Memory of heads that are longer than usual.
+pub struct HeadMemory(PermitPool);
+
+impl HeadMemory {
+    /// The pool, of `available` bytes for heads and bodies.
+    pub fn new(available: usize) -> HeadMemory {
+        HeadMemory(PermitPool::new(available / HEAD_SHARE_DIVISOR))
+    }
+
+    /// Memory for so many fields, which is empty if they are few.
+    ///
+    /// # Errors
+    /// If there is none left.
+    pub fn reserve_fields(&self, fields: usize) -> Result<Option<MemoryPermit>, NoMemory> {
+        match fields.saturating_sub(FREE_FIELDS) {
+            0 => Ok(None),
+            beyond => self.0.try_acquire(beyond * FIELD_BYTES).map(Some),
+        }
+    }
+
+    /// Waits until that many bytes are available for the buffer of a head.
+    pub async fn reserve_buffer(&self, bytes: usize) -> Option<MemoryPermit> {
+        self.0.acquire(bytes).await
+    }
+
+    /// As [`MemoryBudget::split_among`].
+    pub fn split_among(&self, processes: usize) {
+        self.0.split_among(processes);
+    }
+}
+
+/// No memory is left in a pool.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("there is no room for the request at present")]
+pub struct NoMemory;
+
 /// Reserved memory; returned to its pool on drop.
 pub type MemoryPermit = OwnedSemaphorePermit;
 
+/// Memory for heads and bodies where the process may use `limit` bytes in total and `sockets` connections.
+pub fn available_memory(limit: usize, sockets: usize) -> usize {
+    limit.saturating_sub(PROGRAM_BYTES + sockets * CONNECTION_BYTES).max(limit / MIN_SHARE_DIVISOR)
+}
+
 /// Memory for the bodies of one direction.
 pub struct MemoryBudget {
     buffered: PermitPool,
@@ -28,11 +86,11 @@
 }
 
 impl MemoryBudget {
-    /// The budget for one direction, where the process may use `limit` bytes in total.
-    pub fn new(limit: usize) -> MemoryBudget {
+    /// The budget for one direction, of `available` bytes for heads and bodies.
+    pub fn new(available: usize) -> MemoryBudget {
         MemoryBudget {
-            buffered: PermitPool::new(limit / BUFFERED_SHARE_DIVISOR),
-            streamed: PermitPool::new(limit / STREAMED_SHARE_DIVISOR),
+            buffered: PermitPool::new(available / BUFFERED_SHARE_DIVISOR),
+            streamed: PermitPool::new((available / STREAMED_SHARE_DIVISOR).max(MIN_STREAMED_POOL_BYTES)),
         }
     }
 
@@ -74,6 +132,12 @@
         Arc::clone(&self.permits).acquire_many_owned(permits).await.ok()
     }
 
+    /// Takes memory if it is available now.
+    fn try_acquire(&self, bytes: usize) -> Result<MemoryPermit, NoMemory> {
+        let permits = u32::try_from(bytes.div_ceil(PERMIT_BYTES)).map_err(|_| NoMemory)?;
+        Arc::clone(&self.permits).try_acquire_many_owned(permits).map_err(|_| NoMemory)
+    }
+
     fn split_among(&self, processes: usize) {
         let target = (self.total / processes.max(1)).max(MIN_POOL_BYTES / PERMIT_BYTES / 2);
         let current = self.current.get();
--- a/client-proxy/src/monitored_stream/read_ahead.rs
+++ b/client-proxy/src/monitored_stream/read_ahead.rs
@@ -40,12 +40,12 @@
         }
     }
 
-    /// Moves bytes of a single segment into `buf` and returns the earliest time at which they may have been
+    /// Moves up to `limit` bytes of a single segment into `buf` and returns the earliest time at which they may have been
     /// sent; `None` if there are none.
-    pub(super) fn take(&mut self, buf: &mut ReadBuf<'_>) -> Option<Instant> {
+    pub(super) fn take(&mut self, buf: &mut ReadBuf<'_>, limit: usize) -> Option<Instant> {
         let first = self.segments.front_mut()?;
         let sent_after = first.sent_after;
-        let taken = first.bytes.split_to(first.bytes.len().min(buf.remaining()));
+        let taken = first.bytes.split_to(first.bytes.len().min(buf.remaining()).min(limit));
         buf.put_slice(&taken);
         self.length -= taken.len();
         if first.bytes.is_empty() {
--- a/client-proxy/src/monitored_stream/stream_io.rs
+++ b/client-proxy/src/monitored_stream/stream_io.rs
@@ -1,16 +1,21 @@
 //! `AsyncRead` and `AsyncWrite` for a monitored stream.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+use rustix::net::{RecvFlags, recv};
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::time::Instant;
 
 use super::{HangUp, MonitoredStream};
 
+/// Bytes that one read returns at most.
+const READ_BYTES: usize = 16 * 1024;
+
 /// Whether a failed socket call should be repeated: it would have blocked or was interrupted, which says
 /// nothing about the connection.
 pub(super) fn is_transient(error: &io::Error) -> bool {
@@ -22,9 +27,22 @@
 
 impl AsyncRead for Io {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        self.poll_read_up_to(cx, buf, READ_BYTES)
+    }
+}
+
+impl Io {
+    /// Reads at most `limit` bytes, and no more than [`READ_BYTES`].
+    pub fn poll_read_up_to(
+        &self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+        limit: usize,
+    ) -> Poll<io::Result<()>> {
         let monitored = &self.0;
+        let limit = buf.remaining().min(limit).min(READ_BYTES);
         let (was_waiting, now) = (monitored.is_reader_waiting.take(), Instant::now());
-        if let Some(sent_after) = monitored.read_ahead_buffer.borrow_mut().take(buf) {
+        if let Some(sent_after) = monitored.read_ahead_buffer.borrow_mut().take(buf, limit) {
             monitored.note_read(sent_after, now);
             return Poll::Ready(Ok(()));
         }
@@ -43,10 +61,17 @@
                 monitored.is_reader_waiting.set(true);
             }
             ready!(ready)?;
-            match monitored.stream.try_read(buf.initialize_unfilled()) {
-                Ok(read) => {
+            // Read into a buffer on the stack: the reader's own is as long as its longest message, and initialising
+            // it would make all of it resident for a few bytes.
+            let mut chunk = [MaybeUninit::uninit(); READ_BYTES];
+            let received = monitored.stream.try_io(Interest::READABLE, || {
+                let ((received, _), _) = recv(&monitored.stream, &mut chunk[..limit], RecvFlags::empty())?;
+                buf.put_slice(received);
+                Ok(())
+            });
+            match received {
+                Ok(()) => {
                     monitored.note_read(monitored.last_empty.get(), now);
-                    buf.advance(read);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => monitored.found_empty(now),
--- a/client-proxy/src/monitored_stream/tests.rs
+++ b/client-proxy/src/monitored_stream/tests.rs
@@ -312,7 +312,7 @@
     let mut next = |max_len: usize| {
         let mut buf = vec![0; max_len];
         let mut buf = ReadBuf::new(&mut buf);
-        let sent_after = ahead.take(&mut buf);
+        let sent_after = ahead.take(&mut buf, usize::MAX);
         (buf.filled().to_vec(), sent_after)
     };
     assert_eq!(next(3), (b"bac".to_vec(), Some(time_of(0))));
--- a/client-proxy/src/request_arrival.rs
+++ b/client-proxy/src/request_arrival.rs
@@ -62,10 +62,10 @@
 }
 
 impl RequestArrival {
-    /// A body of which nothing had arrived before `now`.
-    pub fn new(length: Option<u64>, now: Instant) -> RequestArrival {
-        let latest = Sample { at: now, progress: Progress::default() };
-        RequestArrival { length, samples: VecDeque::from([latest]), latest, written_after: now }
+    /// A body of which nothing was sent before `sent_after`.
+    pub fn new(length: Option<u64>, sent_after: Instant) -> RequestArrival {
+        let latest = Sample { at: sent_after, progress: Progress::default() };
+        RequestArrival { length, samples: VecDeque::from([latest]), latest, written_after: sent_after }
     }
 
     /// Records the progress at `now`.
--- a/client-proxy/src/request_body.rs
+++ b/client-proxy/src/request_body.rs
@@ -27,8 +27,8 @@
 /// to get an end within 3 s.
 const MAX_STALL: Duration = Duration::from_millis(2_500);
 
-/// How long a request waits for memory for its body before it is rejected.
-const MEMORY_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a request waits for memory before it is rejected.
+pub const MEMORY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Why a body could not be read completely.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
@@ -120,14 +120,15 @@
     /// the permit, and whether that was the complete body.
     ///
     /// # Errors
-    /// If the body cannot be read or there is no memory for it.
+    /// If the body cannot be read or there is no memory for it within `wait`.
     pub async fn read_prefix(
         &mut self,
         memory: &MemoryBudget,
+        wait: &mut MemoryWait,
     ) -> Result<(Bytes, Option<MemoryPermit>, bool), BodyError> {
         let length = self.body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
         let known = length.unwrap_or(0).min(MAX_BUFFERED_BODY);
-        let mut permit = reserve_with_timeout(memory.reserve_buffered(known)).await?;
+        let mut permit = wait.reserve(memory.reserve_buffered(known)).await?;
         let (mut prefix, mut reserved) = (BytesMut::with_capacity(known), known);
         while !self.is_end_stream() && prefix.len() <= MAX_BUFFERED_BODY {
             match std::future::poll_fn(|cx| self.poll_data(cx)).await.transpose()? {
@@ -135,7 +136,7 @@
                 None => return Ok((prefix.freeze(), Some(permit), true)),
             }
             if prefix.len() > reserved {
-                permit.merge(reserve_with_timeout(memory.reserve_buffered(CHUNK_SIZE)).await?);
+                permit.merge(wait.reserve(memory.reserve_buffered(CHUNK_SIZE)).await?);
                 reserved += CHUNK_SIZE;
             }
         }
@@ -143,12 +144,38 @@
     }
 }
 
-/// Waits for memory with a timeout. Several requests may each hold part of the budget and wait for more,
-/// which without a timeout would be a deadlock.
-async fn reserve_with_timeout(
-    memory: impl Future<Output = Option<MemoryPermit>>,
-) -> Result<MemoryPermit, BodyError> {
-    timeout(MEMORY_TIMEOUT, memory).await.ok().flatten().ok_or(BodyError::NoMemory)
+/// How long one request may still wait for memory, all waits together. Several requests may each hold part of a
+/// budget and wait for more, which without an end would be a deadlock.
+pub struct MemoryWait {
+    left: Duration,
+    spent: Duration,
+}
+
+impl MemoryWait {
+    /// For a client that waits for `client_timeout`.
+    pub fn new(client_timeout: Duration) -> MemoryWait {
+        MemoryWait { left: client_timeout.min(MEMORY_TIMEOUT), spent: Duration::ZERO }
+    }
+
+    /// The time of all waits so far.
+    pub fn spent(&self) -> Duration {
+        self.spent
+    }
+
+    /// Waits for memory.
+    ///
+    /// # Errors
+    /// If the time is up.
+    pub async fn reserve(
+        &mut self,
+        memory: impl Future<Output = Option<MemoryPermit>>,
+    ) -> Result<MemoryPermit, BodyError> {
+        let began_at = Instant::now();
+        let reserved = timeout(self.left, memory).await;
+        self.spent += began_at.elapsed();
+        self.left = self.left.saturating_sub(began_at.elapsed());
+        reserved.ok().flatten().ok_or(BodyError::NoMemory)
+    }
 }
 
 /// How far a streamed body has been read.
@@ -174,15 +201,17 @@
 }
 
 impl StreamedRequestBody {
-    /// `prefix` has already been read; `length` is the length of the complete body, if known.
+    /// `prefix` has already been read; `length` is the length of the complete body, if known. None of it was sent
+    /// before `sent_after`.
     pub fn new(
         prefix: (Bytes, Option<MemoryPermit>),
         rest: PacedBody,
         length: Option<u64>,
+        sent_after: Instant,
         permit: MemoryPermit,
     ) -> StreamedRequestBody {
         let (rest, progress) = (RefCell::new(rest), watch::Sender::new(BodyProgress::Receiving));
-        let arrival = RefCell::new(RequestArrival::new(length, Instant::now()));
+        let arrival = RefCell::new(RequestArrival::new(length, sent_after));
         StreamedRequestBody {
             prefix: RefCell::new(prefix),
             rest,
--- a/client-proxy/src/request_body/tests.rs
+++ b/client-proxy/src/request_body/tests.rs
@@ -32,7 +32,10 @@
             sleep(MEMORY_WAIT).await;
             drop(permits);
         });
-        assert_eq!(paced.read_prefix(&budget).await.expect("no memory permit").0, "abc");
+        let mut wait = MemoryWait::new(MEMORY_TIMEOUT);
+        let prefix = paced.read_prefix(&budget, &mut wait).await.expect("no memory permit").0;
+        assert_eq!(prefix, "abc");
+        assert!(wait.spent() >= MEMORY_WAIT);
         assert!(start.elapsed() - paced.waited() >= MEMORY_WAIT);
     });
 }
--- a/client-proxy/src/upstream_request.rs
+++ b/client-proxy/src/upstream_request.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::headers::request_id;
+use crate::memory_budget::MemoryPermit;
 use crate::monitored_stream::{HangUp, MonitoredStream, PeerStatus};
 use crate::request_arrival::MAX_COMPLETION_ERROR;
 use crate::request_body::{BodyError, CHUNK_SIZE, Payload, StreamedRequestBody};
@@ -94,6 +95,8 @@
     pub client: Option<Rc<MonitoredStream>>,
     /// What has been learned by the attempts so far.
     pub attempts: AttemptState,
+    /// Memory of a long head.
+    pub _head_memory: Option<MemoryPermit>,
 }
 
 /// What the attempts of a request have shown, for the rest of the newest one and for the next.
@@ -121,6 +124,7 @@
             client_timeout,
             client: None,
             attempts: AttemptState::default(),
+            _head_memory: None,
         }
     }
 
--- a/client-proxy/tests/client_crowds.rs
+++ b/client-proxy/tests/client_crowds.rs
@@ -45,16 +45,18 @@
     look_request(3000).replace("\r\n\r\n", &format!("\r\n{}\r\n", short_fields())).into_bytes()
 }
 
-/// An upstream with a long response to each request.
+/// An upstream with a long response to each GET request, and a short one to others.
 fn long_response_upstream() -> SocketAddr {
     raw_upstream(|reader, writer| {
         let response = vec![b'x'; LONG_RESPONSE_BYTES];
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_RESPONSE_BYTES}\r\n\r\n");
         while let Some(request) = read_head(reader) {
-            if read_body(reader, &request).is_none()
-                || writer.write_all(head.as_bytes()).is_err()
-                || writer.write_all(&response).is_err()
-            {
+            let is_complete = read_body(reader, &request).is_some();
+            let written = match request.starts_with("get ") {
+                true => writer.write_all(head.as_bytes()).and_then(|()| writer.write_all(&response)),
+                false => writer.write_all(http_response("200 OK", "", "fine").as_bytes()),
+            };
+            if !is_complete || written.is_err() {
                 return;
             }
         }
@@ -91,9 +93,11 @@
         Crowd { proxy, _discovery: discovery_server, clients }
     }
 
-    /// Has the clients write on slowly, or read slowly, while the client proxy takes what they have sent.
+    /// Has the clients write on slowly, or read slowly, while the client proxy takes what they have sent. Another
+    /// client gets a final response to each of its requests meanwhile.
     fn observe(&mut self) {
         wait_until_sleeping(self.proxy.child.id());
+        let mut other = self.proxy.client();
         for _ in 0..OBSERVED_TIME.as_millis() / 100 {
             std::thread::sleep(Duration::from_millis(100));
             for client in &mut self.clients {
@@ -101,6 +105,8 @@
                 let _ = client.write(b"z");
                 let _ = client.read(&mut [0; 512]);
             }
+            let status = other.round_trip(&post("keep", 3000, "Idempotency-Key: 5c0f\r\n", "")).status();
+            assert!(matches!(status, 200 | 503), "{status}");
         }
         wait_until_sleeping(self.proxy.child.id());
     }
@@ -132,6 +138,17 @@
     assert_crowd_within_limits("partial heads", &[partial_head()]);
 }
 
+/// A complete request that finds no memory for its head is refused: closed without a response it would be lost.
+#[test]
+fn long_head_beside_crowd_gets_a_final_response() {
+    let crowd = Crowd::start(&[partial_head()]);
+    for _ in 0..5 {
+        let request = post("pay", 3000, &long_field(), "");
+        let status = crowd.proxy.client().round_trip(&request).status();
+        assert!(matches!(status, 200 | 503), "{status}");
+    }
+}
+
 #[test]
 fn crowd_in_the_middle_of_large_requests_stays_within_memory() {
     assert_crowd_within_limits("short fields", &[partial_request(&short_fields())]);
