--- a/client-proxy/src/clients/tests.rs
+++ b/client-proxy/src/clients/tests.rs
@@ -71,6 +71,29 @@
     }
 }
 
+/// One client sends requests that need no endpoint as fast as it can. Between any two of them all other tasks
+/// get their turn.
+#[test]
+fn flood_of_requests_without_endpoint_lets_others_run() {
+    const REQUESTS: usize = 200;
+    run(async {
+        let (stream, mut client) = connected_client(1024 * 1024).await;
+        client.write_all(READY_REQUEST.repeat(REQUESTS).as_bytes()).expect("could not write");
+        tokio::task::spawn_local(connection(Rc::clone(&stream), context(), Instant::now()));
+        let mut reader = std::io::BufReader::new(client.try_clone().expect("could not clone the socket"));
+        client.set_nonblocking(true).expect("could not set the mode");
+        let (mut received, mut most_in_a_turn) = (String::new(), 0);
+        while received.matches("HTTP/1.1 200 ").count() < REQUESTS {
+            let before = received.matches("HTTP/1.1 200 ").count();
+            yield_now().await;
+            // Ends with an error once nothing more has been written.
+            let _ = reader.read_to_string(&mut received);
+            most_in_a_turn = most_in_a_turn.max(received.matches("HTTP/1.1 200 ").count() - before);
+        }
+        assert_eq!(most_in_a_turn, 1, "responses between two turns of another task");
+    });
+}
+
 /// The system has received a request, but no task was notified of it when the idle connection is closed.
 /// The request must still be answered.
 #[test]
--- a/client-proxy/tests/common/messages.rs
+++ b/client-proxy/tests/common/messages.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// One HTTP message as received.
 #[derive(Debug, Clone, Default)]
@@ -83,9 +84,15 @@
     )
 }
 
+/// Each request has an id of its own.
 pub fn post(class: &str, remaining_ms: u64, headers: &str, body: &str) -> String {
+    static LAST_ID: AtomicU64 = AtomicU64::new(0);
+    post_with_id(&format!("p{}", LAST_ID.fetch_add(1, Ordering::Relaxed)), class, remaining_ms, headers, body)
+}
+
+pub fn post_with_id(id: &str, class: &str, remaining_ms: u64, headers: &str, body: &str) -> String {
     format!(
-        "POST /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: t2\r\nX-Lane: {class}\r\nX-Org: acme\r\n\
+        "POST /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: {id}\r\nX-Lane: {class}\r\nX-Org: acme\r\n\
          X-Remaining-Ms: {remaining_ms}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
--- a/client-proxy/tests/diagnostics.rs
+++ b/client-proxy/tests/diagnostics.rs
@@ -79,7 +79,7 @@
     let id = "i".repeat(3_000);
     let mut client = proxy.client();
     for _ in 0..REQUESTS {
-        let request = post("none", 3000, "", "").replace("X-Txn: t2", &format!("X-Txn: {id}"));
+        let request = post_with_id(&id, "none", 3000, "", "");
         assert_eq!(proxy.client().round_trip(&request).status(), 400);
     }
     client.stream.set_read_timeout(Some(Duration::from_secs(5))).expect("could not set the timeout");
