Forward a request once, also if its client leaves and comes again, or to the other process

Cause: nothing knew that an id had been forwarded. The rule of one effect was kept for the attempts of one request alone (Balancer::runs_once).

One that comes again fails: the first may have run, so that it is neither refused nor sent. It is asked for again right before an attempt, since the first may have waited meanwhile. The processes find each other's ports in the state file. Without an inherited listener there is no such socket. A request that was certainly not executed may come again.

Class of fault: a rule kept for one request object that holds for a request's identity.

--- a/balancer/src/interface/action.rs
+++ b/balancer/src/interface/action.rs
@@ -33,6 +33,12 @@
         /// The request.
         id: RequestId,
     },
+    /// Tell other processes of this client proxy, before the attempt that follows, that a request with this identity
+    /// is forwarded.
+    AnnounceForwarded {
+        /// Hash of the id that the client gave it.
+        identity: u64,
+    },
     /// Deliver [`Event::TimerFired`](super::Event::TimerFired) at this time or soon after.
     SetTimer {
         /// When the timer is due, on the caller's clock.
--- a/balancer/src/interface/event.rs
+++ b/balancer/src/interface/event.rs
@@ -1,6 +1,7 @@
 //! Events: what the caller reports about requests, attempts, endpoints and timers.
 
 use super::{EndpointId, Millis, RequestId};
+use crate::hashing::hash;
 
 /// State of an endpoint according to discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -113,6 +114,15 @@
     pub size_hint: Option<f64>,
     /// Key of the object that it concerns, for key affinity.
     pub key: Option<String>,
+    /// Hash of the id that the client gives it. If the same request comes again, it is the same.
+    pub identity: Option<u64>,
+}
+
+impl RequestMetadata {
+    /// The identity of a request with this id. It is the same in all versions of the program.
+    pub fn identity_of(id: &str) -> u64 {
+        hash(id)
+    }
 }
 
 /// A request from a client.
@@ -182,6 +192,11 @@
         /// The request.
         id: RequestId,
     },
+    /// Another process of this client proxy forwards a request with this identity.
+    ForwardedByPeer {
+        /// Hash of the id that the client gave it.
+        identity: u64,
+    },
     /// An operator disabled an endpoint: it counts as draining until it is enabled, whatever the endpoint
     /// list says.
     Disabled {
--- a/balancer/src/logic.rs
+++ b/balancer/src/logic.rs
@@ -127,6 +127,9 @@
             Event::AttemptFinished(end) => self.attempt_ended(&end, actions),
             Event::ClientDisconnected { id } => self.end_request(id, actions),
             Event::ClientHalfClosed { id } => self.client_half_closed(id, actions),
+            Event::ForwardedByPeer { identity } => {
+                self.forwarded.add(identity, None, self.now);
+            }
             Event::Disabled { endpoint } => self.set_override(endpoint, Override::Disabled, actions),
             Event::Enabled { endpoint, at } => self.set_override(endpoint, Override::EnabledAt(at), actions),
             Event::TimerFired { token } => self.timer_fired(token, actions),
--- a/balancer/src/logic/dispatch.rs
+++ b/balancer/src/logic/dispatch.rs
@@ -45,7 +45,7 @@
     /// No attempt starts after the final response, after the client's deadline, or above the limit of
     /// attempts.
     fn may_have_attempt(&self, request: &Request) -> bool {
-        let is_in_time = request.awaits_response() && self.now < request.deadline;
+        let is_in_time = request.awaits_response() && self.now < request.deadline && !request.ran_elsewhere;
         let has_attempt_left = request.attempts_made() < self.settings.limits.max_attempts as usize;
         is_in_time && has_attempt_left && !request.cannot_resend
     }
@@ -107,7 +107,7 @@
         index: usize,
         actions: &mut Vec<Action>,
     ) -> bool {
-        if !self.is_eligible(request, index) {
+        if !self.is_eligible(request, index) || !self.claim_identity(id, request, actions) {
             return false;
         }
         let (work, cost) =
@@ -137,6 +137,17 @@
         true
     }
 
+    /// Makes sure that no other request with the identity of this one was forwarded. Returns false if one was.
+    fn claim_identity(&mut self, id: RequestId, request: &mut Request, actions: &mut Vec<Action>) -> bool {
+        let is_safe = self.settings.classes[request.class].effect == Effect::Safe;
+        let Some(identity) = request.identity.filter(|_| !is_safe) else { return true };
+        request.ran_elsewhere = self.forwarded.is_forwarded_by_other(identity, id);
+        if !request.ran_elsewhere && self.forwarded.add(identity, Some(id), self.now) {
+            actions.push(Action::AnnounceForwarded { identity });
+        }
+        !request.ran_elsewhere
+    }
+
     /// Sends the final response of a request that no endpoint served; all such responses start here. The
     /// request is rejected if it was certainly not executed or if a retry is harmless, otherwise it fails.
     fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
@@ -156,6 +167,9 @@
         let (is_first, streaming) = (!request.ended, request.streaming);
         request.ended = true;
         if request.attempts_in_flight() == 0 {
+            if let Some(identity) = request.identity.filter(|_| !request.may_have_run()) {
+                self.forwarded.remove(identity, id);
+            }
             self.requests.remove(&id);
         } else if is_first && !streaming {
             self.cancel_attempts(id, None, actions);
@@ -192,6 +206,11 @@
         let key = new.metadata.key.as_deref().filter(|_| self.settings.key_affinity).map(hash);
         let mut request = Request::new(new.metadata.class, self.now, timeout, size, key);
         (request.send_once, request.body_pending) = (new.body_pending, new.body_pending);
+        request.identity = new.metadata.identity;
+        let is_safe = class.effect == Effect::Safe;
+        request.ran_elsewhere = request
+            .identity
+            .is_some_and(|identity| !is_safe && self.forwarded.is_forwarded_by_other(identity, new.id));
         self.class_stats[new.metadata.class].size.add(size);
         // A client's retry does not count as another request.
         self.class_stats[new.metadata.class].in_objective.weight +=
@@ -200,7 +219,8 @@
         self.offered_work[new.metadata.class * self.recent_tenant_requests.len() + tenant] +=
             self.expected_latency(new.metadata.class, size);
         self.requests.insert(new.id, request);
-        if self.should_shed(new.metadata.class, tenant, new.metadata.is_retry) {
+        let ran_elsewhere = self.requests.get(&new.id).is_some_and(|request| request.ran_elsewhere);
+        if ran_elsewhere || self.should_shed(new.metadata.class, tenant, new.metadata.is_retry) {
             return self.finish(new.id, actions);
         }
         self.retry_budget = (self.retry_budget + RETRY_BUDGET_PER_REQUEST).min(MAX_RETRY_BUDGET);
--- a/balancer/src/state.rs
+++ b/balancer/src/state.rs
@@ -1,9 +1,11 @@
 //! State of the balancer. The decisions based on it are in [`crate::logic`].
 
+mod forwarded;
 mod load;
 mod request;
 mod zone;
 
+pub(crate) use forwarded::ForwardedRequests;
 pub(crate) use load::{ClassStats, Load};
 pub(crate) use request::{Attempt, Request};
 pub(crate) use zone::Zone;
@@ -49,6 +51,8 @@
     /// the nearest one.
     pub(crate) spillover: [ProportionalIntegral; 3],
     pub(crate) requests: BTreeMap<RequestId, Request>,
+    /// Requests that must not take effect again under the same identity.
+    pub(crate) forwarded: ForwardedRequests,
     pub(crate) timers: BTreeMap<u64, TimerPurpose>,
     /// Token of the timer that was set last.
     pub(crate) last_token: u64,
@@ -99,6 +103,7 @@
             zones: settings.locality.as_ref().map(Zone::for_locality).unwrap_or_default(),
             spillover: Default::default(),
             requests: BTreeMap::new(),
+            forwarded: ForwardedRequests::default(),
             timers: BTreeMap::new(),
             last_token: 0,
             last_evaluated_at: None,
@@ -119,6 +124,11 @@
         }
     }
 
+    /// Identities of the requests that this balancer forwarded recently and that may have been executed.
+    pub fn forwarded_identities(&self) -> Vec<u64> {
+        self.forwarded.own().collect()
+    }
+
     /// The probability that a request may use the zone of an endpoint; 1 if locality is off.
     pub(crate) fn zone_weight(&self, endpoint: usize) -> f64 {
         self.zones.get(self.endpoints[endpoint].entry.zone).map_or(1.0, |zone| zone.weight)
--- a/balancer/src/state/request.rs
+++ b/balancer/src/state/request.rs
@@ -54,6 +54,10 @@
     pub(crate) size: f64,
     /// Hash of its key, if endpoints cache by key.
     pub(crate) key: Option<u64>,
+    /// What a client gives it, also if it comes again; known only where clients do.
+    pub(crate) identity: Option<u64>,
+    /// Another request with its identity was forwarded and may have been executed.
+    pub(crate) ran_elsewhere: bool,
     pub(crate) attempts: Vec<Attempt>,
     /// Its response is being streamed to the client.
     pub(crate) streaming: bool,
@@ -82,6 +86,8 @@
             deadline: arrived_at + timeout,
             size,
             key,
+            identity: None,
+            ran_elsewhere: false,
             attempts: Vec::new(),
             streaming: false,
             ended: false,
@@ -99,7 +105,7 @@
         self.attempts.iter().filter(|attempt| attempt.in_flight).count()
     }
     pub(crate) fn may_have_run(&self) -> bool {
-        self.attempts.iter().any(|attempt| attempt.may_have_run)
+        self.ran_elsewhere || self.attempts.iter().any(|attempt| attempt.may_have_run)
     }
     /// The attempts that count towards the limit: all but those that were never sent.
     pub(crate) fn attempts_made(&self) -> usize {
--- a/balancer/tests/common/harness.rs
+++ b/balancer/tests/common/harness.rs
@@ -142,7 +142,7 @@
                     open.flat_map(|request| &request.attempts).any(|attempt| attempt.endpoint == *endpoint);
                 assert!(!refers, "released the identifier of an endpoint to which an open request was sent");
             }
-            Action::Watch | Action::Fetch | Action::Log(_) => {}
+            Action::Watch | Action::Fetch | Action::Log(_) | Action::AnnounceForwarded { .. } => {}
         }
     }
 
--- a/client-proxy/src/driver.rs
+++ b/client-proxy/src/driver.rs
@@ -28,6 +28,7 @@
 use crate::diagnostics::Diagnostics;
 use crate::endpoint_pool::{AttemptResult, EndpointPool};
 use crate::names::Names;
+use crate::peer_link::PeerLink;
 use crate::process_state::{ProcessState, State};
 use crate::upstream_request::UpstreamRequest;
 
@@ -92,6 +93,8 @@
     /// Requests that were completely received and have not ended.
     requests_in_progress: Cell<usize>,
     diagnostics: Diagnostics,
+    /// Link to the other process of an upgrade; present where there may be one.
+    peer_link: RefCell<Option<Rc<PeerLink>>>,
 }
 
 impl Driver {
@@ -128,6 +131,7 @@
             outcomes,
             requests_in_progress,
             diagnostics: Diagnostics::default(),
+            peer_link: RefCell::default(),
         };
         Ok(Rc::new(driver))
     }
@@ -137,6 +141,24 @@
         &self.diagnostics
     }
 
+    /// Exchanges with the other process of an upgrade which requests are forwarded.
+    pub fn connect_peers(&self, peer_link: Rc<PeerLink>) {
+        self.peer_link.replace(Some(peer_link));
+    }
+
+    /// Identities of the requests that were forwarded recently and may have been executed.
+    pub fn forwarded_identities(&self) -> Vec<u64> {
+        self.state.borrow().balancer.forwarded_identities()
+    }
+
+    /// Notifies the balancer of requests that another process forwards.
+    pub fn note_forwarded_by_peers(self: &Rc<Self>) {
+        let peer_link = self.peer_link.borrow().clone();
+        for identity in peer_link.iter().flat_map(|peer_link| peer_link.receive(self)) {
+            self.handle_event(Event::ForwardedByPeer { identity });
+        }
+    }
+
     /// The clock whose time the balancer is given.
     pub fn clock(&self) -> Clock {
         self.clock
@@ -214,6 +236,8 @@
     /// Submits a request. The ticket yields its final response; dropping the ticket signals that the client
     /// has disconnected.
     pub fn submit(self: &Rc<Self>, metadata: RequestMetadata, request: UpstreamRequest) -> ResponseTicket {
+        // What a peer has announced by now may be this request.
+        self.note_forwarded_by_peers();
         let (reply, outcome) = oneshot::channel();
         let (request, is_counted) = (Rc::new(request), Rc::new(Cell::new(false)));
         let id = {
--- a/client-proxy/src/driver/actions.rs
+++ b/client-proxy/src/driver/actions.rs
@@ -43,6 +43,11 @@
                     driver.handle_event(Event::TimerFired { token });
                 });
             }
+            Action::AnnounceForwarded { identity } => {
+                if let Some(peer_link) = &*self.peer_link.borrow() {
+                    peer_link.announce(identity);
+                }
+            }
             Action::CloseIdleConnections { endpoint } => self.endpoints.close_idle(endpoint),
             Action::ReleaseEndpointId { endpoint } => self.ids.release(endpoint),
             // The receiver lives as long as the program, so a failed send means that the program is exiting.
--- a/client-proxy/src/main.rs
+++ b/client-proxy/src/main.rs
@@ -18,6 +18,7 @@
 mod memory_budget;
 mod monitored_stream;
 mod names;
+mod peer_link;
 mod process_state;
 mod request_arrival;
 mod request_body;
@@ -50,6 +51,7 @@
 use crate::driver::Driver;
 use crate::endpoint_pool::{EndpointPool, duration_from_ms};
 use crate::memory_budget::{HeadMemory, MemoryBudget, available_memory};
+use crate::peer_link::PeerLink;
 use crate::process_state::ProcessState;
 use crate::shutdown::Shutdown;
 use crate::socket_budget::SocketBudget;
@@ -174,10 +176,15 @@
     };
     spawn_local(endpoints.sweep());
     let started = CancellationToken::new();
+    let peer_link = if listener_shared { Some(PeerLink::bind().await?) } else { None };
+    if let Some(peer_link) = &peer_link {
+        driver.connect_peers(Rc::clone(peer_link));
+        spawn_local(Rc::clone(peer_link).serve(Rc::clone(&driver)));
+    }
     spawn_local(follow_process_state(
         process_state,
         driver,
-        listener_shared,
+        peer_link,
         started.clone(),
         move |process_state| discovery.run(process_state.newer_list(cached_list), commands),
     ));
@@ -216,7 +223,7 @@
 async fn follow_process_state<F: Future<Output = ()> + 'static>(
     process_state: Rc<ProcessState>,
     driver: Rc<Driver>,
-    listener_shared: bool,
+    peer_link: Option<Rc<PeerLink>>,
     started: CancellationToken,
     follow_discovery: impl FnOnce(&ProcessState) -> F,
 ) {
@@ -228,8 +235,14 @@
         tracing::info!("state folder timed out: starting without the state of an earlier process");
     }
     let mut has_logged_failure = false;
-    let mut is_registered =
-        listener_shared && is_read_in_time && register_process(&process_state, &mut has_logged_failure).await;
+    let port = peer_link.as_ref().and_then(|peer_link| peer_link.port().ok());
+    let mut is_registered = false;
+    if let Some(peer_link) = &peer_link
+        && is_read_in_time
+    {
+        peer_link.synchronize(&process_state.peer_ports(), &driver).await;
+        is_registered = register_process(&process_state, port, &mut has_logged_failure).await;
+    }
     spawn_local(follow_discovery(&process_state));
     started.cancel();
     if !is_read_in_time {
@@ -237,7 +250,7 @@
         tracing::info!("state folder responds again");
         driver.apply_operator_overrides();
     }
-    if !listener_shared {
+    if peer_link.is_none() {
         return;
     }
     loop {
@@ -245,15 +258,20 @@
             driver.apply_operator_overrides();
         }
         sleep(PEER_SYNC_INTERVAL).await;
-        is_registered = is_registered || register_process(&process_state, &mut has_logged_failure).await;
+        is_registered =
+            is_registered || register_process(&process_state, port, &mut has_logged_failure).await;
     }
 }
 
 /// Registers this process as a user of the state file and returns whether that succeeded. Until it has, two
 /// processes may together exceed the limits that they share, so the caller retries; only the first failure is
 /// logged.
-async fn register_process(process_state: &ProcessState, has_logged_failure: &mut bool) -> bool {
-    let Err(error) = process_state.register_process().await else { return true };
+async fn register_process(
+    process_state: &ProcessState,
+    port: Option<u16>,
+    has_logged_failure: &mut bool,
+) -> bool {
+    let Err(error) = process_state.register_process(port).await else { return true };
     if !std::mem::replace(has_logged_failure, true) {
         tracing::info!("cannot register this process in the state file, retrying: {error}");
     }
--- a/client-proxy/src/process_state.rs
+++ b/client-proxy/src/process_state.rs
@@ -65,6 +65,9 @@
     /// IDs of the processes that use the file; some may have exited.
     #[serde(default)]
     processes: BTreeSet<u32>,
+    /// Ports of the links between these processes, by ID.
+    #[serde(default)]
+    peer_ports: BTreeMap<u32, u16>,
 }
 
 impl State {
@@ -210,18 +213,28 @@
         self.is_writing_list.set(false);
     }
 
-    /// Registers this process as a user of the file.
+    /// Registers this process as a user of the file, with the port of its link if it has one.
     ///
     /// # Errors
     /// As for [`ProcessState::change`].
-    pub async fn register_process(&self) -> Result<(), StateFileError> {
-        self.change(|state| {
+    pub async fn register_process(&self, port: Option<u16>) -> Result<(), StateFileError> {
+        self.change(move |state| {
             state.processes.retain(|id| is_running(*id));
             state.processes.insert(std::process::id());
+            state.peer_ports.retain(|id, _| is_running(*id));
+            state.peer_ports.extend(port.map(|port| (std::process::id(), port)));
         })
         .await
     }
 
+    /// Ports of the links of other running processes.
+    pub fn peer_ports(&self) -> Vec<u16> {
+        let own_pid = std::process::id();
+        let state = self.state.borrow();
+        let others = state.peer_ports.iter().filter(|(id, _)| **id != own_pid && is_running(**id));
+        others.map(|(_, port)| *port).collect()
+    }
+
     /// Number of running processes that use the file, including this one.
     pub fn processes(&self) -> usize {
         let own_pid = std::process::id();
--- a/client-proxy/src/process_state/tests.rs
+++ b/client-proxy/src/process_state/tests.rs
@@ -243,7 +243,7 @@
         let (old, new) =
             (open_and_read(&dir, "n0", &names()).await, open_and_read(&dir, "n0", &names()).await);
         disable(&old, "s1").await.expect("could not write the state file");
-        new.register_process().await.expect("could not write the state file");
+        new.register_process(None).await.expect("could not write the state file");
         assert_eq!(new.state().disabled, BTreeSet::from(["s1".to_owned()]));
         assert!(new.refresh().await && !new.refresh().await);
     });
--- a/client-proxy/src/request_head.rs
+++ b/client-proxy/src/request_head.rs
@@ -95,7 +95,7 @@
     context: &ClientContext,
 ) -> Result<RequestMetadata, BadRequest> {
     single_value(headers, &HOST).ok_or(BadRequest::Missing("Host"))?;
-    single_value(headers, &X_TXN).filter(|id| !id.is_empty()).ok_or(BadRequest::Missing("X-Txn"))?;
+    let id = single_value(headers, &X_TXN).filter(|id| !id.is_empty()).ok_or(BadRequest::Missing("X-Txn"))?;
     let lane = single_value(headers, &X_LANE).ok_or(BadRequest::Missing("X-Lane"))?;
     let class = context.names.classes.iter().position(|name| name == lane).ok_or(BadRequest::Class)?;
     if path.split('/').nth(1) != Some(lane) {
@@ -132,6 +132,7 @@
             .and_then(|us| us.parse::<f64>().ok())
             .map(|us| us / 1e3),
         key: read_key(headers),
+        identity: Some(RequestMetadata::identity_of(id)),
     })
 }
 
--- a/client-proxy/tests/attempts.rs
+++ b/client-proxy/tests/attempts.rs
@@ -32,7 +32,7 @@
     let (proxy, _discovery) = Proxy::with_upstreams(&[&upstream]);
     let mut client = proxy.client();
     let response = client.round_trip(
-        &post("keep/9?deep=a%20b", 3000, "", "x")
+        &post_with_id("t2", "keep/9?deep=a%20b", 3000, "", "x")
             .replace("X-Lane: keep/9?deep=a%20b", "X-Lane: keep")
             .replace("Content-Length", "Idempotency-Key: 5c0f\r\nContent-Length"),
     );
--- a/client-proxy/tests/common/messages.rs
+++ b/client-proxy/tests/common/messages.rs
@@ -84,10 +84,11 @@
     )
 }
 
-/// Each request has an id of its own.
+/// Each request has an id of its own, and all ids have the same length.
 pub fn post(class: &str, remaining_ms: u64, headers: &str, body: &str) -> String {
     static LAST_ID: AtomicU64 = AtomicU64::new(0);
-    post_with_id(&format!("p{}", LAST_ID.fetch_add(1, Ordering::Relaxed)), class, remaining_ms, headers, body)
+    let id = format!("p{:07}", LAST_ID.fetch_add(1, Ordering::Relaxed));
+    post_with_id(&id, class, remaining_ms, headers, body)
 }
 
 pub fn post_with_id(id: &str, class: &str, remaining_ms: u64, headers: &str, body: &str) -> String {
--- a/client-proxy/tests/deadlines.rs
+++ b/client-proxy/tests/deadlines.rs
@@ -194,7 +194,7 @@
     let after_wait_ms = REMAINING_MS - DELAY.as_millis() as u64;
     let nearly_all_ms = REMAINING_MS - NOTICE_DELAY_MAX.as_millis() as u64;
     let (behind_ms, after_ms) = deadlines_behind_a_delayed_response(REMAINING_MS, |client, upstream| {
-        client.write(&pay_request().repeat(2));
+        client.write(&(pay_request() + &pay_request()));
         upstream.next_request();
     });
     assert!(behind_ms <= after_wait_ms, "in the same segment: {behind_ms} ms");
@@ -242,8 +242,9 @@
         assert_eq!(client.read().expect("no response").status(), 200);
         forwarded_deadline_ms(&upstream.next_request().1)
     };
-    let request = post("pay", REMAINING_MS, "", "abc");
-    for at in [request.len(), request.len() - 1, request.len() - 30, 10, request.len()] {
+    let length = post("pay", REMAINING_MS, "", "abc").len();
+    for at in [length, length - 1, length - 30, 10, length] {
+        let request = post("pay", REMAINING_MS, "", "abc");
         let (first, rest) = request.split_at(at);
         let forwarded_ms =
             if rest.is_empty() { forwarded_ms(&[first]) } else { forwarded_ms(&[first, rest]) };
--- a/client-proxy/tests/idle_connections.rs
+++ b/client-proxy/tests/idle_connections.rs
@@ -213,12 +213,11 @@
 
 /// A request of this class, with this id.
 fn request(class: &str, id: &str) -> String {
-    let text = match class {
-        "look" => look_request(3000),
-        "keep" => post("keep", 3000, IDEMPOTENCY_KEY_HEADER, ""),
-        _ => post(class, 3000, "", ""),
-    };
-    text.replace("X-Txn: t1", "X-Txn: t2").replace("X-Txn: t2", &format!("X-Txn: {id}"))
+    match class {
+        "look" => look_request(3000).replace("X-Txn: t1", &format!("X-Txn: {id}")),
+        "keep" => post_with_id(id, "keep", 3000, IDEMPOTENCY_KEY_HEADER, ""),
+        _ => post_with_id(id, class, 3000, "", ""),
+    }
 }
 
 /// All idle connections are closed or reset just before a request. It must not be lost, fail or run twice.
--- a/client-proxy/tests/lifecycle.rs
+++ b/client-proxy/tests/lifecycle.rs
@@ -145,17 +145,17 @@
     upstream.next_request();
     let mut idle = proxy.client();
     assert_eq!(idle.round_trip(&post("pay", 3000, "", "")).body, b"done");
-    let (begun, rest) = (post("pay", 3000, "", "ab"), 20);
+    let (begun, other, rest) = (post("pay", 3000, "", "ab"), post("pay", 3000, "", "ab"), 20);
     let mut half = proxy.client();
     half.write(&begun[..begun.len() - rest]);
     let mut missing_last_byte = proxy.client();
-    missing_last_byte.write(&begun[..begun.len() - 1]);
+    missing_last_byte.write(&other[..other.len() - 1]);
     proxy.terminate();
     proxy.terminate();
     let mut queued: Vec<Client> = (0..20).map(|_| proxy.client()).collect();
     queued.iter_mut().for_each(|client| client.write(&post("pay", 3000, "", "")));
     half.write(&begun[begun.len() - rest..]);
-    missing_last_byte.write(&begun[begun.len() - 1..]);
+    missing_last_byte.write(&other[other.len() - 1..]);
     idle.write(&post("pay", 3000, "", ""));
     let mut sent = 2;
     for client in queued.iter_mut().chain([&mut half, &mut missing_last_byte, &mut idle]) {
@@ -177,24 +177,25 @@
 fn partial_request_is_awaited_at_idle_close() {
     let upstream = Upstream::start(|_| Reply::Send(http_response("200 OK", "", "done")));
     let (mut proxy, _discovery) = Proxy::with_upstreams(&[&upstream]);
-    let request = post("pay", 3000, "", "ab");
+    let complete = || post("pay", 3000, "", "ab");
     let mut idle = proxy.client();
-    assert_eq!(idle.round_trip(&request).body, b"done");
+    assert_eq!(idle.round_trip(&complete()).body, b"done");
     // Cut in the request line, in the head and in the body; on a new connection and on a used one.
-    let parts = [3, 60, request.len() - 1].into_iter().flat_map(|part| [(part, false), (part, true)]);
-    let mut halves: Vec<(Client, usize)> = parts
+    let parts = [3, 60, complete().len() - 1].into_iter().flat_map(|part| [(part, false), (part, true)]);
+    let mut halves: Vec<(Client, String, usize)> = parts
         .map(|(part, used)| {
             let mut client = proxy.client();
             if used {
-                assert_eq!(client.round_trip(&request).body, b"done");
+                assert_eq!(client.round_trip(&complete()).body, b"done");
             }
+            let request = complete();
             client.write(&request[..part]);
-            (client, part)
+            (client, request, part)
         })
         .collect();
     proxy.terminate();
     assert!(idle.read().is_none(), "idle connections are not closed yet");
-    for (client, part) in &mut halves {
+    for (client, request, part) in &mut halves {
         client.write(&request[*part..]);
         assert_eq!(client.read().expect("no response").body, b"done", "after {part} bytes");
     }
--- a/client-proxy/tests/shutdown.rs
+++ b/client-proxy/tests/shutdown.rs
@@ -85,8 +85,9 @@
         .map(|mut client| {
             let is_refusing = Arc::clone(&is_refusing);
             std::thread::spawn(move || {
-                let (request, mut served, mut answered) = (post("pay", 10_000, "", ""), 0, [0, 0]);
+                let (mut served, mut answered) = (0, [0, 0]);
                 loop {
+                    let request = post("pay", 10_000, "", "");
                     let is_after_refusal = is_refusing.load(Ordering::SeqCst);
                     if client.stream.write_all(request.as_bytes()).is_err() {
                         break;
@@ -183,9 +184,10 @@
     });
     let mut idle = proxy.client();
     assert_eq!(idle.round_trip(READY_REQUEST).status(), 200);
-    let request = post("pay", 3_000, "", "ab");
+    let complete = || post("pay", 3_000, "", "ab");
+    let request = complete();
     let mut client = proxy.client();
-    client.write(&(request.repeat(3) + &request[..request.len() - 20]));
+    client.write(&(complete() + &complete() + &complete() + &request[..request.len() - 20]));
     upstream.next_request();
     proxy.terminate();
     assert!(idle.read().is_none(), "idle connections are not closed yet");
--- a/client-proxy/tests/shutdown_faults.rs
+++ b/client-proxy/tests/shutdown_faults.rs
@@ -49,11 +49,12 @@
 fn long_bodies_waiting_for_memory_are_answered() {
     let sink = Sink::start("");
     let (proxy, hung, _discovery) = with_little_memory(&sink);
-    let endless = post("pay", DEADLINE_MS, "", "").replace("Content-Length: 0", "Content-Length: 1000000000");
+    let endless =
+        || post("pay", DEADLINE_MS, "", "").replace("Content-Length: 0", "Content-Length: 1000000000");
     let holders: Vec<Client> = (0..5)
         .map(|_| {
             let mut holder = proxy.client();
-            holder.write(&endless);
+            holder.write(&endless());
             let holder_stream = holder.stream.try_clone().expect("could not clone the socket");
             std::thread::spawn(move || trickle(&holder_stream, &"x".repeat(THRESHOLD_BYTES + 32 * 1024)));
             sink.wait_until_threshold();
@@ -137,16 +138,17 @@
     let hung = in_flight();
     let mut answered_late: Vec<Client> = (0..LATE_CLIENTS).map(|_| in_flight()).collect();
     let mut behind_hung: Vec<Client> = (0..LATE_CLIENTS).map(|_| in_flight()).collect();
-    let request = post("pay", DEADLINE_MS, "", "abc");
-    let mut halves: Vec<Client> =
-        (0..LATE_CLIENTS).map(|n| client_sending(&request[..request.len() - 1 - 10 * n])).collect();
+    let requests: Vec<String> = (0..LATE_CLIENTS).map(|_| post("pay", DEADLINE_MS, "", "abc")).collect();
+    let (first_parts, rests): (Vec<&str>, Vec<&str>) =
+        requests.iter().enumerate().map(|(n, request)| request.split_at(request.len() - 1 - 10 * n)).unzip();
+    let mut halves: Vec<Client> = first_parts.into_iter().map(client_sending).collect();
     wait_until_processed(&proxy);
     let terminating = TerminatingProxy::start(proxy, hung);
     let mut forwarded = 1 + 2 * LATE_CLIENTS;
     for n in 0..LATE_CLIENTS {
         terminating.sleep_until(Duration::from_millis(600 + 10 * n as u64));
         behind_hung[n].write(&post("pay", DEADLINE_MS, "", "ab"));
-        halves[n].write(&request[request.len() - 1 - 10 * n..]);
+        halves[n].write(rests[n]);
         // Crosses the response to the request before it.
         if n % 2 == 0 {
             release.send(()).expect("the upstream thread has ended");
--- a/simulator-adapter/src/adapter.rs
+++ b/simulator-adapter/src/adapter.rs
@@ -198,7 +198,9 @@
                 if instance.id(&request).is_some() {
                     return Ok(false); // duplicate: the first one has not ended yet
                 }
-                let metadata = RequestMetadata { class, tenant, is_retry, is_write, size_hint, key };
+                let identity = None; // an id is never used twice on this wire
+                let metadata =
+                    RequestMetadata { class, tenant, is_retry, is_write, size_hint, key, identity };
                 let id = instance.add_request(&request);
                 let request = NewRequest { id, timeout: remaining_deadline, body_pending: false, metadata };
                 self.dispatch(now, proxy, Event::Request(request), reply)?;
@@ -344,6 +346,8 @@
         Action::ReleaseEndpointId { .. } => {}
         Action::Watch => write_message(reply, &Outgoing::WatchDiscovery { proxy, active: true }),
         Action::Fetch => write_message(reply, &Outgoing::PollDiscovery { proxy }),
+        // Instances are single processes, and requests have no identity here.
+        Action::AnnounceForwarded { .. } => {}
         Action::Log(message) => write_message(reply, &Outgoing::Log { proxy, message }),
     }
 }
