--- a/balancer/src/logic.rs
+++ b/balancer/src/logic.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod dispatch;
 mod endpoint_list;
+mod idle_connections;
 mod learning;
 mod locality;
 mod outlier_detection;
--- a/balancer/src/logic/dispatch.rs
+++ b/balancer/src/logic/dispatch.rs
@@ -24,9 +24,6 @@
 /// `Retry-After` of a rejected request is its latency objective divided by this, so that the client can
 /// retry twice within the objective.
 const RETRY_AFTER_DIVISOR: f64 = 4.0;
-/// Idle timeout of connections if new connections have no price: far longer than a busy balancer takes to
-/// reuse one.
-const IDLE_CONNECTION_TTL: Millis = 1_000.0;
 
 impl Balancer {
     /// Whether the rules allow an attempt of this request to this endpoint now.
@@ -309,24 +306,6 @@
         (effect != Effect::Unsafe && !request.send_once && timeout + expected < limit).then_some(timeout)
     }
 
-    /// Closes idle connections. Many balancers that each keep a rarely used connection to every endpoint
-    /// would otherwise exhaust the connections that an endpoint can hold.
-    pub(super) fn close_idle_connections(&mut self, actions: &mut Vec<Action>) {
-        let (now, endpoint_timeout) = (self.now, self.settings.limits.connection_idle_timeout);
-        let timeout =
-            if self.settings.prices.handshake > 0.0 { endpoint_timeout } else { IDLE_CONNECTION_TTL };
-        for endpoint in self.endpoints.iter_mut().filter(|endpoint| {
-            endpoint.connections.in_flight == 0
-                && endpoint.connections.open > 0
-                && endpoint.connections.last_idle_at + timeout <= now
-        }) {
-            endpoint.connections.open = 0;
-            if timeout < endpoint_timeout {
-                actions.push(Action::CloseIdleConnections { endpoint: endpoint.entry.endpoint });
-            }
-        }
-    }
-
     /// Once a response is streamed to the client, the other attempts of the request are cancelled.
     pub(super) fn response_started(&mut self, id: RequestId, attempt: u32, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
--- a/client-proxy/src/clients.rs
+++ b/client-proxy/src/clients.rs
@@ -3,6 +3,7 @@
 mod client_io;
 mod connection_state;
 mod response_body;
+mod responses;
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -10,9 +11,8 @@
 use std::time::Duration;
 
 use balancer::Settings;
-use bytes::Bytes;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Version};
@@ -23,9 +23,10 @@
 use self::client_io::ClientIo;
 use self::connection_state::{ConnectionState, FIRST_REQUEST_TIMEOUT};
 use self::response_body::ResponseBody;
+use self::responses::{build_response, empty_response, refuse};
 use crate::diagnostics::{CloseReason, RefusalReason};
-use crate::driver::{Driver, FinalOutcome, FinalResponse};
-use crate::endpoint_pool::{BUFFER_SIZE, EndpointPool, Served, UpstreamBody};
+use crate::driver::Driver;
+use crate::endpoint_pool::{BUFFER_SIZE, EndpointPool, UpstreamBody};
 use crate::headers::{request_id, strip_hop_by_hop_headers};
 use crate::memory_budget::{HeadMemory, MemoryBudget};
 use crate::monitored_stream::MonitoredStream;
@@ -279,48 +280,6 @@
     }
 }
 
-fn empty_response(status: StatusCode) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::buffered(Bytes::new()));
-    *response.status_mut() = status;
-    response
-}
-
-/// Refuses a request that was never forwarded, so that a retry is safe.
-fn refuse(context: &ClientContext, headers: &HeaderMap, reason: RefusalReason) -> Response<ResponseBody> {
-    context.driver.diagnostics().request_refused(request_id(headers), reason);
-    empty_response(StatusCode::SERVICE_UNAVAILABLE)
-}
-
-fn build_response(FinalResponse { outcome, recorder, forwarder }: FinalResponse) -> Response<ResponseBody> {
-    match outcome {
-        FinalOutcome::Served(Served { body, content_type, memory }) => {
-            let forwarder = Some(forwarder);
-            let mut response = Response::new(ResponseBody {
-                body,
-                forwarder,
-                error: None,
-                recorder,
-                _memory: memory,
-                active_request: None,
-            });
-            if let Some(content_type) = content_type {
-                response.headers_mut().insert(CONTENT_TYPE, content_type);
-            }
-            response
-        }
-        FinalOutcome::Rejected(retry_after) => {
-            let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
-            let retry_after_s =
-                retry_after.and_then(|ms| HeaderValue::try_from(format!("{:.3}", ms / 1e3)).ok());
-            if let Some(retry_after_s) = retry_after_s {
-                response.headers_mut().insert(RETRY_AFTER, retry_after_s);
-            }
-            response
-        }
-        FinalOutcome::Failed => empty_response(StatusCode::BAD_GATEWAY),
-    }
-}
-
 /// Reads and checks a request, submits it and waits for its final response.
 async fn read_and_dispatch(
     request: Request<Incoming>,
--- a/client-proxy/src/main.rs
+++ b/client-proxy/src/main.rs
@@ -115,7 +115,8 @@
     let listener = inherited.map_or_else(|| bind("GW_LISTEN", listen), TcpListener::from_std)?;
     let bound = listener.local_addr()?;
     let admin_listener = admin.map(|address| bind("admin_addr", address)).transpose()?;
-    let memory = available_memory(memory, sockets);
+    // With an inherited listener another process may run beside this one.
+    let memory = available_memory(memory, sockets, 1 + usize::from(listener_shared));
     let sockets = SocketBudget::new(sockets, admin_listener.as_ref().map_or(0, |_| admin::MAX_DESCRIPTORS));
     let memory_budgets = [(); 2].map(|()| Rc::new(MemoryBudget::new(memory)));
     let head_memory = Rc::new(HeadMemory::new(memory));
--- a/client-proxy/src/memory_budget.rs
+++ b/client-proxy/src/memory_budget.rs
@@ -74,9 +74,10 @@
 /// Reserved memory; returned to its pool on drop.
 pub type MemoryPermit = OwnedSemaphorePermit;
 
-/// Memory for heads and bodies where the process may use `limit` bytes in total and `sockets` connections.
-pub fn available_memory(limit: usize, sockets: usize) -> usize {
-    limit.saturating_sub(PROGRAM_BYTES + sockets * CONNECTION_BYTES).max(limit / MIN_SHARE_DIVISOR)
+/// Memory for heads and bodies where so many processes may use `limit` bytes in total and `sockets` connections.
+pub fn available_memory(limit: usize, sockets: usize, processes: usize) -> usize {
+    let used = processes * PROGRAM_BYTES + sockets * CONNECTION_BYTES;
+    limit.saturating_sub(used).max(limit / MIN_SHARE_DIVISOR)
 }
 
 /// Memory for the bodies of one direction.
--- a/client-proxy/src/monitored_stream/tests.rs
+++ b/client-proxy/src/monitored_stream/tests.rs
@@ -9,6 +9,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::read_ahead::MAX_SEGMENTS;
+use std::task::Poll;
+
 use super::*;
 use crate::socket_budget::{Side, SocketBudget};
 
