Listen for the other process of an upgrade only once it has been asked

By reading: the task that receives announcements ran beside PeerLink::synchronize, and could take the last datagram that it waits for; the start was then held for 100 ms, and the log said that the other process had not answered. The task now begins afterwards. returning_requests.rs, upgrade.rs and client_crowds.rs pass.

--- a/client-proxy/src/main.rs
+++ b/client-proxy/src/main.rs
@@ -180,7 +180,6 @@
     let peer_link = if listener_shared { Some(PeerLink::bind().await?) } else { None };
     if let Some(peer_link) = &peer_link {
         driver.connect_peers(Rc::clone(peer_link));
-        spawn_local(Rc::clone(peer_link).serve(Rc::clone(&driver)));
     }
     spawn_local(follow_process_state(
         process_state,
@@ -238,11 +237,13 @@
     let mut has_logged_failure = false;
     let port = peer_link.as_ref().and_then(|peer_link| peer_link.port().ok());
     let mut is_registered = false;
-    if let Some(peer_link) = &peer_link
-        && is_read_in_time
-    {
-        peer_link.synchronize(&process_state.peer_ports(), &driver).await;
-        is_registered = register_process(&process_state, port, &mut has_logged_failure).await;
+    if let Some(peer_link) = &peer_link {
+        // Without the file the ports of other processes are not known.
+        if is_read_in_time {
+            peer_link.synchronize(&process_state.peer_ports(), &driver).await;
+            is_registered = register_process(&process_state, port, &mut has_logged_failure).await;
+        }
+        spawn_local(Rc::clone(peer_link).serve(Rc::clone(&driver)));
     }
     spawn_local(follow_discovery(&process_state));
     started.cancel();
