--- a/balancer/src/logic/dispatch.rs
+++ b/balancer/src/logic/dispatch.rs
@@ -134,7 +134,8 @@
         true
     }
 
-    /// Makes sure that no other request with the identity of this one was forwarded. Returns false if one was.
+    /// Makes sure that no other request with the identity of this one was forwarded. Returns false if one
+    /// was.
     fn claim_identity(&mut self, id: RequestId, request: &mut Request, actions: &mut Vec<Action>) -> bool {
         let is_safe = self.settings.classes[request.class].effect == Effect::Safe;
         let Some(identity) = request.identity.filter(|_| !is_safe) else { return true };
