Read a process's memory, and wait for its readiness, in one place of the tests

Change: Proxy::wait_until_ready, Proxy::memory and SHORT_MESSAGE_BYTES; no check or bound has changed.

--- a/client-proxy/src/clients/connection_state.rs
+++ b/client-proxy/src/clients/connection_state.rs
@@ -14,6 +14,7 @@
 use super::LINGER_TIME;
 use crate::memory_budget::MemoryPermit;
 use crate::monitored_stream::MonitoredStream;
+use crate::request_body::SHORT_MESSAGE_BYTES;
 use crate::request_end::RequestEnd;
 
 /// Time limit for a request head, counted from its first byte; also how long a connection may be idle, since
@@ -40,8 +41,6 @@
 /// How long the buffers of a connection are kept after short messages, for a client that sends one request after
 /// another.
 const REST_DELAY: Duration = Duration::from_millis(20);
-/// Messages of up to this size leave buffers as they are.
-const SHORT_MESSAGE_BYTES: u64 = 4 * 1024;
 
 /// State that the timeouts and the graceful shutdown of a connection depend on.
 pub(super) struct ConnectionState {
@@ -184,12 +183,12 @@
     /// Whether the buffers may have grown for the newest request or its response.
     fn has_long_message(&self) -> bool {
         let response_bytes = self.stream.written().saturating_sub(self.written_before.get());
-        self.has_long_request.get() || response_bytes > SHORT_MESSAGE_BYTES
+        self.has_long_request.get() || response_bytes > SHORT_MESSAGE_BYTES as u64
     }
 
     /// Records that a request has a body of so many bytes, or more.
     pub(super) fn note_request_body(&self, bytes: usize) {
-        self.has_long_request.set(bytes as u64 > SHORT_MESSAGE_BYTES);
+        self.has_long_request.set(bytes > SHORT_MESSAGE_BYTES);
     }
 
     pub(super) fn request_end(&self) -> Rc<RequestEnd> {
--- a/client-proxy/src/endpoint_pool/attempt.rs
+++ b/client-proxy/src/endpoint_pool/attempt.rs
@@ -18,16 +18,13 @@
 };
 use super::{BUFFER_SIZE, EndpointPool, STALL_TIMEOUT};
 use crate::headers::X_REMAINING_MS;
-use crate::request_body::MAX_BUFFERED_BODY;
+use crate::request_body::{MAX_BUFFERED_BODY, SHORT_MESSAGE_BYTES};
 use crate::upstream_request::{AttemptBody, UpstreamRequest};
 
 /// How long to wait for the end of a response of unknown length before its first bytes are forwarded. Most
 /// such responses are short and end within this time.
 pub(super) const LENGTH_PROBE_TIME: Duration = Duration::from_millis(20);
 
-/// Responses of up to this size leave the buffers of their connection as they are.
-const SHORT_RESPONSE_BYTES: usize = 4 * 1024;
-
 /// If a connection that was idle for this long yields no response byte, its endpoint may have silently
 /// dropped it, and other connections that have been idle for this long are suspect too. Endpoints keep
 /// connections for at least this time, so failures after shorter idle times have other causes.
@@ -176,7 +173,7 @@
         let (head, mut body) = response.into_parts();
         let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
         conn.has_long_message =
-            !request.is_short() || length.is_none_or(|length| length > SHORT_RESPONSE_BYTES);
+            !request.is_short() || length.is_none_or(|length| length > SHORT_MESSAGE_BYTES);
         let buffered_length = length.filter(|length| *length <= MAX_BUFFERED_BODY);
         let permit = match buffered_length {
             Some(length) => self.response_memory.reserve_buffered(length).await,
--- a/client-proxy/src/request_body.rs
+++ b/client-proxy/src/request_body.rs
@@ -21,6 +21,8 @@
 /// Bodies are written in chunks of this size at most. The HTTP library takes one more while it holds less than 16 KiB,
 /// so its write buffer, which doubles as it grows, stays at 32 KiB.
 pub const CHUNK_SIZE: usize = 8 * 1024;
+/// Messages of up to this size leave the buffers of their connections as they are.
+pub const SHORT_MESSAGE_BYTES: usize = 4 * 1024;
 /// Buffers of bodies whose length is not known grow by this much, as memory is reserved for it.
 const BUFFER_STEP: usize = 16 * 1024;
 /// A client has to send at least this many bytes per second of the time that its body is waited for.
--- a/client-proxy/src/upstream_request.rs
+++ b/client-proxy/src/upstream_request.rs
@@ -16,7 +16,7 @@
 use crate::memory_budget::MemoryPermit;
 use crate::monitored_stream::{HangUp, MonitoredStream, PeerStatus};
 use crate::request_arrival::MAX_COMPLETION_ERROR;
-use crate::request_body::{BodyError, CHUNK_SIZE, Payload, StreamedRequestBody};
+use crate::request_body::{BodyError, CHUNK_SIZE, Payload, SHORT_MESSAGE_BYTES, StreamedRequestBody};
 use crate::request_end::{RequestEnd, Unread};
 
 /// A client that is still connected has at least 0 ms left. The deadline passed to an endpoint may be up to
@@ -24,9 +24,6 @@
 /// that 50 ms are left for a process that is stalled for a moment.
 const DEADLINE_SLACK: Duration = Duration::from_millis(100);
 
-/// Bodies of up to this size leave the buffers of a connection as they are.
-const SHORT_BODY_BYTES: usize = 4 * 1024;
-
 /// How often to check how much of a long request has arrived.
 const ARRIVAL_RECHECK: Duration = Duration::from_millis(20);
 
@@ -139,7 +136,7 @@
     /// Whether neither its fields nor its body make buffers grow.
     pub fn is_short(&self) -> bool {
         let is_body_short = match &self.body.payload {
-            Payload::Buffered(body) => body.len() <= SHORT_BODY_BYTES,
+            Payload::Buffered(body) => body.len() <= SHORT_MESSAGE_BYTES,
             Payload::Streamed(_) => false,
         };
         is_body_short && self.field_memory.is_none()
--- a/client-proxy/tests/bodies.rs
+++ b/client-proxy/tests/bodies.rs
@@ -307,14 +307,6 @@
             *unread -= read;
         }
     }
-    let status =
-        std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).expect("the process has ended");
-    let peak_kb = status
-        .split("VmHWM:")
-        .nth(1)
-        .expect("no VmHWM in status")
-        .split_whitespace()
-        .next()
-        .expect("not a number");
-    assert!(peak_kb.parse::<usize>().expect("not a number of kB") < 48_000, "{peak_kb} kB");
+    let peak = proxy.memory("VmHWM:").expect("the process has ended");
+    assert!(peak < 48_000 * 1024, "{peak} bytes");
 }
--- a/client-proxy/tests/client_crowds.rs
+++ b/client-proxy/tests/client_crowds.rs
@@ -76,7 +76,7 @@
 
     /// Asserts that the process has not been beyond its limit, and still answers.
     fn assert_within_limits(&self, shape: &str) {
-        let peak = memory_of(&self.proxy, "VmHWM:").expect("the process has ended");
+        let peak = self.proxy.memory("VmHWM:").expect("the process has ended");
         assert!(peak <= MEMORY_LIMIT_BYTES, "{shape}: {peak} bytes");
         assert_eq!(self.proxy.client().round_trip(READY_REQUEST).status(), 200, "{shape}");
     }
--- a/client-proxy/tests/client_crowds_across_signals.rs
+++ b/client-proxy/tests/client_crowds_across_signals.rs
@@ -29,7 +29,7 @@
 
 impl PeakMemory {
     fn observe(&mut self, processes: &[&Proxy]) {
-        let resident = processes.iter().filter_map(|process| memory_of(process, "VmRSS:"));
+        let resident = processes.iter().filter_map(|process| process.memory("VmRSS:"));
         self.0 = self.0.max(resident.sum());
     }
 
@@ -66,18 +66,14 @@
     config["listen"] = json!(address.to_string());
     config["admin_addr"] = json!("127.0.0.1:0");
     let old = platform.start(&config);
-    wait_until_ready(&old);
+    old.wait_until_ready();
     let (texts, mut peak) = (texts(), PeakMemory::default());
     let mut crowd = ReturningCrowd::connect(address, &texts, usize::MAX);
     crowd.go_on(PHASE, || peak.observe(&[&old]));
     let new = platform.start(&config);
-    wait_until_ready(&new);
+    new.wait_until_ready();
     crowd.go_on(PHASE / 3, || peak.observe(&[&old, &new]));
     old.terminate();
     crowd.go_on(EARLIEST_KILL, || peak.observe(&[&old, &new]));
     peak.assert_within_limit("two processes");
 }
-
-fn wait_until_ready(proxy: &Proxy) {
-    while proxy.admin_command("PING") != "+OK ready\n" {}
-}
--- a/client-proxy/tests/common/crowds.rs
+++ b/client-proxy/tests/common/crowds.rs
@@ -35,13 +35,6 @@
     (0..12).map(|n| endpoint(&format!("h{n}"), address, "SERVING")).collect()
 }
 
-/// A figure of a process in bytes, by its name in the system's status; `None` if it has ended.
-pub fn memory_of(process: &Proxy, name: &str) -> Option<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", process.child.id())).ok()?;
-    let value = status.lines().find_map(|line| line.strip_prefix(name))?;
-    value.trim().trim_end_matches(" kB").parse::<u64>().ok().map(|kilobytes| kilobytes * 1024)
-}
-
 /// Fields that are as short as they can be, so that each costs far more than its bytes.
 pub fn short_fields() -> String {
     (0..MANY_FIELDS).map(|n| format!("a{n}:\r\n")).collect()
--- a/client-proxy/tests/common/mod.rs
+++ b/client-proxy/tests/common/mod.rs
@@ -246,6 +246,18 @@
         Client::new(self.address)
     }
 
+    /// Waits until the operators' address says that it is ready.
+    pub fn wait_until_ready(&self) {
+        while self.admin_command("PING") != "+OK ready\n" {}
+    }
+
+    /// A figure in bytes, by its name in the system's status of the process; `None` if that has ended.
+    pub fn memory(&self, name: &str) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let value = status.lines().find_map(|line| line.strip_prefix(name))?;
+        value.trim().trim_end_matches(" kB").parse::<u64>().ok().map(|kilobytes| kilobytes * 1024)
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/client-proxy/tests/soak/play.rs
+++ b/client-proxy/tests/soak/play.rs
@@ -117,7 +117,7 @@
             None => Proxy::start(&config),
         };
         let first = start();
-        wait_until_ready(&first);
+        first.wait_until_ready();
         let target = Mutex::new(Target { address: first.address, killed_at: None });
         let termination_time = DEADLINE + EARLIEST_KILL;
         let end = Instant::now() + 4 * PHASE + 2 * termination_time;
@@ -161,7 +161,7 @@
         let mut process = first;
         for _ in 0..2 {
             let successor = self.is_upgrade.then(&start);
-            successor.iter().for_each(wait_until_ready);
+            successor.iter().for_each(Proxy::wait_until_ready);
             let memory = process_peaks([Some(&process), successor.as_ref()]);
             self.check_memory(memory, judge);
             self.terminate_and_kill(process, target, judge);
@@ -200,16 +200,7 @@
     }
 }
 
-fn wait_until_ready(proxy: &Proxy) {
-    while proxy.admin_command("PING") != "+OK ready\n" {}
-}
-
 /// The most memory that running processes have had, in bytes; the sum counts, as they share one limit.
 fn process_peaks<const N: usize>(processes: [Option<&Proxy>; N]) -> u64 {
-    let peak = |process: &Proxy| {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", process.child.id())).ok()?;
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-        peak.trim().trim_end_matches(" kB").parse::<u64>().ok()
-    };
-    processes.into_iter().flatten().filter_map(peak).sum::<u64>() * 1024
+    processes.into_iter().flatten().filter_map(|process| process.memory("VmHWM:")).sum()
 }
--- a/client-proxy/tests/state_folder.rs
+++ b/client-proxy/tests/state_folder.rs
@@ -72,10 +72,6 @@
     json!([endpoint("h0", one.address, status_of_first), endpoint("h1", two.address, "SERVING")])
 }
 
-fn wait_until_ready(proxy: &Proxy) {
-    while proxy.admin_command("PING") != "+OK ready\n" {}
-}
-
 /// Repeats a command until it is accepted: on a busy disk a write may time out.
 fn run_until_accepted(proxy: &Proxy, command: &str) {
     wait_until(command, || proxy.admin_command(command).starts_with("+OK "));
@@ -101,7 +97,7 @@
     let setup = TestSetup::new();
     let faults = Faults::new(json!({}));
     let proxy = setup.start(&faults);
-    wait_until_ready(&proxy);
+    proxy.wait_until_ready();
     run_until_accepted(&proxy, "DETACH h0");
     let folder = setup.folder();
     for rule in [
@@ -144,7 +140,7 @@
     let setup = TestSetup::new();
     let faults = Faults::new(json!({}));
     let proxy = setup.start(&faults);
-    wait_until_ready(&proxy);
+    proxy.wait_until_ready();
     for call in ["open", "flock", "write", "fsync", "rename"] {
         faults.replace_plan(
             json!({"rules": [{"call": call, "path": STATE_FILE_PREFIX, "delay_ms": HANG_MS, "count": 1}]}),
@@ -181,7 +177,7 @@
     ] {
         let faults = Faults::new(json!({}));
         let mut killed = setup.start(&faults);
-        wait_until_ready(&killed);
+        killed.wait_until_ready();
         run_until_accepted(&killed, "DETACH h0");
         faults.replace_plan(json!({"rules": [rule]}));
         let reply = loop {
@@ -198,7 +194,7 @@
         assert!(!killed.child.wait().expect("could not wait for the process").success());
 
         let next = setup.start(&Faults::new(json!({})));
-        wait_until_ready(&next);
+        next.wait_until_ready();
         let disabled_names = setup.disabled_on_disk();
         assert!(
             disabled_names == ["h0"] || may_be_stored && disabled_names == ["h0", "h1"],
@@ -218,7 +214,7 @@
     let setup = TestSetup::new();
     let faults = Faults::new(json!({}));
     let mut killed = setup.start(&faults);
-    wait_until_ready(&killed);
+    killed.wait_until_ready();
     run_until_accepted(&killed, "DETACH h0");
     let plan = json!({"rules": [
         {"call": "rename", "path": STATE_FILE_PREFIX, "delay_ms": 1500, "count": 1},
@@ -238,7 +234,7 @@
     assert_eq!(setup.disabled_on_disk(), ["h0"]);
 
     let next = setup.start(&Faults::new(json!({})));
-    wait_until_ready(&next);
+    next.wait_until_ready();
     assert_eq!(disabled_count(&next), 1);
 }
 
@@ -270,7 +266,7 @@
         (rule["call"], rule["path"]) = (json!("open"), json!("n0.json"));
         let faults = Faults::new(json!({"rules": [rule]}));
         let proxy = setup.start(&faults);
-        wait_until_ready(&proxy);
+        proxy.wait_until_ready();
         assert_eq!(proxy.client().round_trip(&look_request(3000)).status(), 200);
         assert_eq!(disabled_count(&proxy), 0, "{fault}");
         assert!(proxy.admin_command("DETACH h1").starts_with("-ERR "), "{fault}");
@@ -289,7 +285,7 @@
     let faults =
         Faults::new(json!({"rules": [{"call": "write", "path": STATE_FILE_PREFIX, "error": "ENOSPC"}]}));
     let proxy = setup.start_shared(&faults);
-    wait_until_ready(&proxy);
+    proxy.wait_until_ready();
     assert_eq!(proxy.client().round_trip(&look_request(3000)).status(), 200);
     assert!(!setup.file().exists());
     faults.replace_plan(json!({}));
@@ -304,7 +300,7 @@
     let (faults, none) = (Faults::new(json!({})), Faults::new(json!({})));
     let (old, new) = (setup.start_shared(&faults), setup.start_shared(&none));
     for proxy in [&old, &new] {
-        wait_until_ready(proxy);
+        proxy.wait_until_ready();
         // By then everything that the start writes has been written.
         run_until_accepted(proxy, "DETACH h1");
     }
@@ -329,7 +325,7 @@
     let setup = TestSetup::new();
     let faults = Faults::new(json!({}));
     let proxy = setup.start_shared(&faults);
-    wait_until_ready(&proxy);
+    proxy.wait_until_ready();
     setup.discovery_server.wait_until_list_received();
     run_until_accepted(&proxy, "ATTACH h0");
     let before = setup.on_disk()["list"].clone();
@@ -348,7 +344,7 @@
     let setup = TestSetup::new();
     let faults = Faults::new(json!({}));
     let proxy = setup.start(&faults);
-    wait_until_ready(&proxy);
+    proxy.wait_until_ready();
     let rule = json!({"call": "rename", "path": STATE_FILE_PREFIX, "delay_ms": HANG_MS, "count": 1});
     faults.replace_plan(json!({"rules": [rule]}));
     let mut operator = proxy.admin_connection();
@@ -369,7 +365,7 @@
     let setup = TestSetup::new();
     let faults = Faults::new(json!({}));
     let proxy = setup.start(&faults);
-    wait_until_ready(&proxy);
+    proxy.wait_until_ready();
     run_until_accepted(&proxy, "DETACH h0");
     run_until_accepted(&proxy, "DETACH h1");
     run_until_accepted(&proxy, "ATTACH h0");
--- a/client-proxy/tests/upgrade.rs
+++ b/client-proxy/tests/upgrade.rs
@@ -25,10 +25,6 @@
     entries.collect()
 }
 
-fn wait_until_ready(proxy: &Proxy) {
-    while proxy.admin_command("PING") != "+OK ready\n" {}
-}
-
 fn served_look_requests(proxy: &Proxy) -> u64 {
     proxy.metrics()["success"]["look"].as_u64().expect("not a count")
 }
@@ -42,14 +38,14 @@
     let discovery_server = DiscoveryServer::start(entries(&[&upstream]));
     let config = config_for(&platform, &discovery_server);
     let mut old = platform.start(&config);
-    wait_until_ready(&old);
+    old.wait_until_ready();
     let (mut waiting, mut kept_open) = (old.client(), old.client());
     waiting.write(&look_request(3900));
     upstream.next_request();
     assert_eq!(kept_open.round_trip(&look_request(3900)).body, b"done");
 
     let new = platform.start(&config);
-    wait_until_ready(&new);
+    new.wait_until_ready();
     old.terminate();
     // The open connection serves one more request and is then closed.
     let last = kept_open.round_trip(&look_request(3900));
@@ -64,7 +60,7 @@
     assert!(served_look_requests(&new) >= 10);
 
     let newer = platform.start(&config);
-    wait_until_ready(&newer);
+    newer.wait_until_ready();
     let mut new = new;
     new.terminate();
     assert!(new.child.wait().expect("could not wait for the process").success());
@@ -93,7 +89,7 @@
     let platform = Platform::new();
     let discovery_server = DiscoveryServer::start(entries(&[&upstream]));
     let mut old = platform.start(&config_for(&platform, &discovery_server));
-    wait_until_ready(&old);
+    old.wait_until_ready();
     let (mut idle, mut client) = (old.client(), old.client());
     assert_eq!(idle.round_trip(READY_REQUEST).status(), 200);
     client.write(&(post("pay", 3900, "", &"x".repeat(length)) + &post("pay", 3900, "", "abc").repeat(2)));
@@ -122,7 +118,7 @@
     let discovery_server = DiscoveryServer::start(entries(&[&upstream]));
     let config = config_for(&platform, &discovery_server);
     let old = platform.start(&config);
-    wait_until_ready(&old);
+    old.wait_until_ready();
     // The new process has neither discovery nor the state of the old one.
     let unresponsive = TcpListener::bind("127.0.0.1:0").expect("could not bind a loopback port");
     let mut unlisted = config.clone();
@@ -148,13 +144,13 @@
     let discovery_server = DiscoveryServer::start(entries(&[&one, &two]));
     let config = config_for(&platform, &discovery_server);
     let old = platform.start(&config);
-    wait_until_ready(&old);
+    old.wait_until_ready();
     assert_eq!(old.admin_command("DETACH h0"), "+OK out of use\n");
     let unresponsive = TcpListener::bind("127.0.0.1:0").expect("could not bind a loopback port");
     let mut next = config.clone();
     next["discovery"] = json!(unresponsive.local_addr().expect("no local address").to_string());
     let new = platform.start(&next);
-    wait_until_ready(&new);
+    new.wait_until_ready();
     assert_eq!(new.metrics()["targets"], 2);
     assert_eq!(new.metrics()["targets_disabled"], 1);
     // A command to one process takes effect at the other.
@@ -182,7 +178,7 @@
         std::fs::write(platform.dir.join(format!("{STATE_FILE_PREFIX}.json")), invalid)
             .expect("could not write");
         let proxy = platform.start(&config_for(&platform, &discovery_server));
-        wait_until_ready(&proxy);
+        proxy.wait_until_ready();
         assert_eq!(proxy.client().round_trip(&look_request(3000)).status(), 200, "{invalid}");
         assert_eq!(proxy.admin_command("DETACH h0"), "+OK out of use\n", "{invalid}");
     }
