Serve no cached list that neither discovery nor a running process confirms

Cause: Discovery::restore_cached_list gave the list of the configuration or of the state file to the balancer before any poll, also where lists are pushed, and made the process ready after FIRST_POLL_TIMEOUT. Requests were sent by it even before readiness, so a longer wait alone would not have mended it. Ruled out: the polls (the agent's first response is applied at once) and the balancer. Change: where lists are pushed, a cached list is served only if another running process follows it, as in an upgrade; the state file names the process that received the list. Else the balancer has no endpoints until discovery responds; the process is ready then, or after 9 s, and rejects requests meanwhile. Where discovery is polled nothing changes.

--- a/client-proxy/src/discovery.rs
+++ b/client-proxy/src/discovery.rs
@@ -12,10 +12,9 @@
 
 use balancer::{DiscoveryMode as Mode, EndpointEntry, EndpointUpdate};
 use discovery_client::{DiscoveryConnection, PollError, SupersededPolls};
-use discovery_proto::{ListReader, PollTiming, Subscription, SupersededPoll};
+use discovery_proto::{EndpointList, ListReader, PollTiming, Subscription, SupersededPoll};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
-use serde_json::Value;
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -23,15 +22,17 @@
 use crate::driver::{DiscoveryCommand, Driver};
 use crate::endpoint_pool::EndpointPool;
 use crate::names::Names;
-use crate::process_state::ProcessState;
+use crate::process_state::{CachedList, ProcessState};
 
 pub use self::source_selector::SourceSelector;
 
 /// Minimum time between polls that discovery should have held open but returned at once, which could
 /// otherwise go on in a tight loop. Well below 200 ms, the time within which a watch has to be resumed.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// How long readiness waits for the first response of discovery if endpoints are known from before.
+/// How long readiness waits for the first response of discovery if a cached list can be served without it.
 const FIRST_POLL_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long it waits if the cached list cannot be served: a restarted process has to be ready within 10 s.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(9);
 /// How long a superseded poll is waited for: an earlier address closes its connections this long after the
 /// reload ("Reloading" in the operators' terms).
 const SUPERSEDED_POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -50,6 +51,7 @@
     /// Address of the last poll.
     last_address: Option<SocketAddr>,
     failing: bool,
+    started_at: Instant,
     ready: watch::Sender<bool>,
 }
 
@@ -85,20 +87,25 @@
             superseded_polls: SupersededPolls::new(SUPERSEDED_POLL_TIMEOUT),
             last_address: None,
             failing: false,
+            started_at: Instant::now(),
             ready: watch::Sender::new(false),
         }
     }
 
-    /// Becomes true once there are endpoints to send requests to.
+    /// Becomes true once there are endpoints to send requests to, or once waiting for them has taken too long.
     pub fn ready(&self) -> watch::Receiver<bool> {
         self.ready.subscribe()
     }
 
-    /// Follows the list for as long as the program runs, starting from the list that was `known` before.
-    pub async fn run(mut self, known: Option<Value>, commands: mpsc::UnboundedReceiver<DiscoveryCommand>) {
-        let cached = known.and_then(|list| self.restore_cached_list(list));
-        // The balancer needs a first snapshot, even if no list is known.
-        self.driver.apply_endpoint_update(EndpointUpdate::CachedSnapshot(cached.unwrap_or_default()));
+    /// Follows the list for as long as the program runs, starting from the list that is `cached`.
+    pub async fn run(
+        mut self,
+        cached: Option<CachedList>,
+        commands: mpsc::UnboundedReceiver<DiscoveryCommand>,
+    ) {
+        let entries = cached.and_then(|cached| self.restore_cached_list(cached));
+        // The balancer needs a first snapshot, even if no list can be served.
+        self.driver.apply_endpoint_update(EndpointUpdate::CachedSnapshot(entries.unwrap_or_default()));
         self.driver.apply_operator_overrides();
         match self.mode {
             Mode::Push => self.follow().await,
@@ -106,16 +113,25 @@
         }
     }
 
-    /// The endpoints of the list that an earlier process left; `None` if it cannot be read. The process becomes
-    /// ready with them if discovery does not respond soon.
-    fn restore_cached_list(&mut self, list: Value) -> Option<Vec<EndpointEntry>> {
-        let list = match serde_json::from_value(list) {
+    /// The endpoints of a list from before this process; `None` if it cannot be read, or must not be served
+    /// before discovery has confirmed it.
+    fn restore_cached_list(&mut self, cached: CachedList) -> Option<Vec<EndpointEntry>> {
+        let CachedList { list, is_followed } = cached;
+        let list: EndpointList = match serde_json::from_value(list) {
             Ok(list) => list,
             Err(error) => {
                 tracing::info!("cached endpoint list ignored: {error}");
                 return None;
             }
         };
+        // What the agent has counts as received from the first moment of a process, which cannot know it.
+        if self.mode == Mode::Push && !is_followed {
+            tracing::info!("cached endpoint list (version {}) awaits confirmation by discovery", list.index);
+            if !list.endpoints.is_empty() {
+                self.become_ready_unconfirmed();
+            }
+            return None;
+        }
         // In `Push` mode the full snapshot costs nothing extra, so the old version is not resumed from.
         let entries = self.subscription.restore(list, self.mode == Mode::Pull, self.driver.clock().now());
         self.log_problems();
@@ -129,6 +145,20 @@
         Some(entries)
     }
 
+    /// Makes the process ready without a list if discovery has not responded in time. Requests are rejected
+    /// until it does.
+    fn become_ready_unconfirmed(&self) {
+        let (ready, at) = (self.ready.clone(), self.started_at + CONFIRMATION_TIMEOUT);
+        spawn_local(async move {
+            sleep_until(at).await;
+            if !ready.send_replace(true) {
+                tracing::info!(
+                    "ready without an endpoint list: requests are rejected until discovery responds"
+                );
+            }
+        });
+    }
+
     /// `Pull` mode: polls whenever the balancer says so.
     async fn follow_commands(&mut self, mut commands: mpsc::UnboundedReceiver<DiscoveryCommand>) {
         loop {
--- a/client-proxy/src/discovery/tests.rs
+++ b/client-proxy/src/discovery/tests.rs
@@ -195,6 +195,16 @@
 
 impl DiscoveryClient {
     fn start(mode: Mode, seed: u64, address: std::net::SocketAddr) -> DiscoveryClient {
+        DiscoveryClient::start_with_cache(mode, seed, address, None).0
+    }
+
+    /// Also returns when it is ready.
+    fn start_with_cache(
+        mode: Mode,
+        seed: u64,
+        address: std::net::SocketAddr,
+        cached: Option<CachedList>,
+    ) -> (DiscoveryClient, watch::Receiver<bool>) {
         let (addresses_sender, address) = watch::channel(address);
         let (command_sender, commands) = mpsc::unbounded_channel();
         let endpoints =
@@ -207,8 +217,9 @@
         let selector = SourceSelector::new(address, None, seed);
         let discovery =
             Discovery::new(selector, mode, names, seed, Rc::clone(&endpoints), Rc::clone(&driver), None);
-        spawn_local(discovery.run(None, commands));
-        DiscoveryClient { addresses_sender, endpoints, driver }
+        let ready = discovery.ready();
+        spawn_local(discovery.run(cached, commands));
+        (DiscoveryClient { addresses_sender, endpoints, driver }, ready)
     }
 
     fn has(&self, endpoint: &str) -> bool {
@@ -305,3 +316,4 @@
 }
 
 mod address_changes;
+mod cached_lists;
--- a/client-proxy/src/process_state.rs
+++ b/client-proxy/src/process_state.rs
@@ -62,6 +62,9 @@
     #[serde(default)]
     #[serde(rename = "list")]
     pub endpoint_list: Option<Value>,
+    /// ID of the process that received the list from discovery. Earlier versions of the program do not write it.
+    #[serde(default)]
+    list_owner: Option<u32>,
     /// IDs of the processes that use the file; some may have exited.
     #[serde(default)]
     processes: BTreeSet<u32>,
@@ -70,6 +73,16 @@
     peer_ports: BTreeMap<u32, u16>,
 }
 
+/// An endpoint list from before the start of this process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CachedList {
+    /// In discovery's format.
+    pub list: Value,
+    /// Whether another running process of this client proxy follows it, so that it is as current as a list that
+    /// this process had received itself.
+    pub is_followed: bool,
+}
+
 impl State {
     /// Removes endpoints that were enabled before `at` on the monotonic clock.
     pub fn forget_enabled_before(&mut self, at: Millis) {
@@ -182,10 +195,24 @@
     }
 
     /// The stored list or `known`, whichever is newer.
-    pub fn newer_list(&self, known: Option<Value>) -> Option<Value> {
-        let index = |list: &Option<Value>| list.as_ref().and_then(|list| list.get("index")?.as_u64());
+    pub fn newer_list(&self, known: Option<Value>) -> Option<CachedList> {
+        let index = |list: &Value| list.get("index").and_then(Value::as_u64);
         let stored = self.state().endpoint_list;
-        if index(&stored) >= index(&known) { stored.or(known) } else { known }
+        if let Some(list) = stored
+            && known.as_ref().is_none_or(|known| index(&list) >= index(known))
+        {
+            return Some(CachedList { list, is_followed: self.is_list_followed() });
+        }
+        known.map(|list| CachedList { list, is_followed: false })
+    }
+
+    /// Whether another running process received the stored list from discovery.
+    fn is_list_followed(&self) -> bool {
+        match self.state.borrow().list_owner {
+            Some(owner) => owner != std::process::id() && is_running(owner),
+            // An earlier version of the program wrote the list.
+            None => self.processes() > 1,
+        }
     }
 
     /// Stores the list for the next process without waiting for it. A failure matters only if there is a next
@@ -199,10 +226,14 @@
 
     async fn write_pending_lists(self: Rc<Self>) {
         while let Some(list) = self.pending_list.take() {
-            if self.state.borrow().endpoint_list.as_ref() == Some(&list) {
+            if self.is_stored(&list) {
                 continue;
             }
-            let written = self.change(move |state| state.endpoint_list = Some(list)).await;
+            let written = self
+                .change(move |state| {
+                    (state.endpoint_list, state.list_owner) = (Some(list), Some(std::process::id()));
+                })
+                .await;
             let failed_before = self.list_write_failed.replace(written.is_err());
             if let Err(error) = written
                 && !failed_before
@@ -213,6 +244,12 @@
         self.is_writing_list.set(false);
     }
 
+    /// Whether the file has this list, from this process or from another one that runs.
+    fn is_stored(&self, list: &Value) -> bool {
+        let state = self.state.borrow();
+        state.endpoint_list.as_ref() == Some(list) && state.list_owner.is_some_and(is_running)
+    }
+
     /// Registers this process as a user of the file, with the port of its link if it has one.
     ///
     /// # Errors
--- a/client-proxy/tests/upgrade.rs
+++ b/client-proxy/tests/upgrade.rs
@@ -167,6 +167,32 @@
     assert_eq!(two.take_request_count(), 0);
 }
 
+/// The list of a process that was killed is an old one, whatever the next processes do with it: only a process
+/// that follows it makes it current. While the agent is silent, they must not send by it.
+#[test]
+fn list_of_killed_process_is_not_served_before_the_agent_confirms_it() {
+    let upstream = Upstream::start(|_| Reply::Send(http_response("200 OK", "", "done")));
+    let platform = Platform::new();
+    let discovery_server = DiscoveryServer::start(entries(&[&upstream]));
+    let mut config = config_for(&platform, &discovery_server);
+    let first = platform.start(&config);
+    first.wait_until_ready();
+    let state_file = platform.dir.join(format!("{STATE_FILE_PREFIX}.json"));
+    while !std::fs::read_to_string(&state_file).is_ok_and(|state| state.contains("\"h0\"")) {}
+    drop(first);
+    let silent = TcpListener::bind("127.0.0.1:0").expect("could not bind a loopback port");
+    config["discovery"] = json!(silent.local_addr().expect("no local address").to_string());
+    let second = platform.start(&config);
+    let third = platform.start(&config);
+    for process in [&second, &third] {
+        process.wait_until_ready();
+    }
+    for _ in 0..4 {
+        assert_eq!(second.client().round_trip(&look_request(300)).status(), 503);
+    }
+    assert_eq!(upstream.take_request_count(), 0);
+}
+
 /// An invalid state file of an earlier process must neither make the start fail nor keep commands from
 /// working.
 #[test]
