Bound the backoff after a lost first poll by the time since the start

Cause: with a list from before the start the first poll waits up to 2.8 s, times out after 3.2 s and was followed by the backoff of repeated failures, up to 2.8 s (max_backoff in endpoint_list.rs), as if nothing were at stake. A change counts as received 6 s after discovery has it, plus 1.5 s of grace. Change: the first backoff has what is left of 2.8 s since the start, and 0.8 s at least, as after a stalled watch. A bound of 0.8 s for all of them made large_fleet_spreads_discovery_retries fail (18 retries in 100 ms for 17).

--- a/balancer/src/logic.rs
+++ b/balancer/src/logic.rs
@@ -101,7 +101,7 @@
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         self.now = now.max(self.now);
         if self.last_evaluated_at.is_none() {
-            self.last_evaluated_at = Some(self.now);
+            (self.last_evaluated_at, self.awaits_first_poll_since) = (Some(self.now), Some(self.now));
             self.set_timer(EVALUATION_INTERVAL, TimerPurpose::Evaluate, actions);
             if self.settings.discovery_mode == DiscoveryMode::Pull {
                 // When a whole fleet starts at once, its first polls would overload discovery. A balancer
--- a/balancer/src/logic/endpoint_list.rs
+++ b/balancer/src/logic/endpoint_list.rs
@@ -41,11 +41,10 @@
             // If a whole fleet polls faster than discovery can respond, its queue only contains polls that
             // have timed out, and nobody gets a response. The backoff therefore grows with each failure and
             // is random over its whole length.
-            let (poll_spread, max_backoff) =
-                (self.poll_spread(), if self.watching { MAX_WATCH_BACKOFF } else { MAX_POLL_BACKOFF });
+            let (poll_spread, max_backoff) = (self.poll_spread(), self.max_poll_backoff());
             let backoff = self.random_unit() * (2.0 * (self.poll_backoff + poll_spread)).min(max_backoff);
             self.poll_backoff = (2.0 * self.poll_backoff + poll_spread).min(MAX_POLL_BACKOFF);
-            self.watching = false;
+            (self.watching, self.awaits_first_poll_since) = (false, None);
             if self.settings.discovery_mode == DiscoveryMode::Pull {
                 self.set_timer(backoff.max(self.settings.timer_resolution), TimerPurpose::Poll, actions);
             }
@@ -53,7 +52,8 @@
         };
         if ends_poll {
             // Any other list is no response to the poll under way, so it says nothing about discovery.
-            (self.watching, self.poll_backoff) = (true, INITIAL_POLL_BACKOFF);
+            (self.watching, self.awaits_first_poll_since) = (true, None);
+            self.poll_backoff = INITIAL_POLL_BACKOFF;
         }
         if !is_incremental {
             // Endpoints that are absent from a full list were removed.
@@ -66,6 +66,16 @@
         self.evaluate_list();
     }
 
+    /// The longest backoff after a poll that has just failed.
+    fn max_poll_backoff(&self) -> Millis {
+        match self.awaits_first_poll_since {
+            _ if self.watching => MAX_WATCH_BACKOFF,
+            // The list is from before the start, and the first poll may have begun late or failed late.
+            Some(started_at) => (MAX_POLL_BACKOFF - (self.now - started_at)).max(MAX_WATCH_BACKOFF),
+            None => MAX_POLL_BACKOFF,
+        }
+    }
+
     fn evaluate_list(&mut self) {
         self.rebuild_groups();
         self.evaluate_kinds();
--- a/balancer/src/state.rs
+++ b/balancer/src/state.rs
@@ -79,6 +79,8 @@
     pub(crate) retry_budget: f64,
     /// A watch of the endpoint list is established.
     pub(crate) watching: bool,
+    /// When the balancer started, until its first poll ends: the list is from before then.
+    pub(crate) awaits_first_poll_since: Option<Millis>,
     pub(crate) poll_backoff: Millis,
     /// All classes are [`Effect::Unsafe`].
     pub(crate) only_unsafe: bool,
@@ -118,6 +120,7 @@
             load,
             retry_budget: 0.0,
             watching: false,
+            awaits_first_poll_since: None,
             poll_backoff: 0.0,
             only_unsafe: settings.classes.iter().all(|class| class.effect == Effect::Unsafe),
             settings,
--- a/client-proxy/src/discovery/tests.rs
+++ b/client-proxy/src/discovery/tests.rs
@@ -195,12 +195,13 @@
 
 impl DiscoveryClient {
     fn start(mode: Mode, seed: u64, address: std::net::SocketAddr) -> DiscoveryClient {
-        DiscoveryClient::start_with_cache(mode, seed, address, None).0
+        let settings = balancer::Settings { discovery_mode: mode, ..settings() };
+        DiscoveryClient::start_with_cache(settings, seed, address, None).0
     }
 
-    /// Also returns when it is ready.
+    /// Also returns whether it is ready.
     fn start_with_cache(
-        mode: Mode,
+        settings: balancer::Settings,
         seed: u64,
         address: std::net::SocketAddr,
         cached: Option<CachedList>,
@@ -209,7 +210,7 @@
         let (command_sender, commands) = mpsc::unbounded_channel();
         let endpoints =
             EndpointPool::new(SocketBudget::new(1024, 0), Rc::new(MemoryBudget::new(1 << 20)), 1000.0, 100.0);
-        let (names, settings) = (Names::default(), balancer::Settings { discovery_mode: mode, ..settings() });
+        let (names, mode) = (Names::default(), settings.discovery_mode);
         let process_state = Rc::new(ProcessState::open(None, "n0", &names));
         let driver =
             Driver::new(settings, names.clone(), seed, Rc::clone(&endpoints), process_state, command_sender)
--- a/client-proxy/src/discovery/tests/cached_lists.rs
+++ b/client-proxy/src/discovery/tests/cached_lists.rs
@@ -10,6 +10,10 @@
     CachedList { list: json!({"index": 41, "snapshot": true, "endpoints": endpoints}), is_followed }
 }
 
+fn settings_with(mode: Mode) -> balancer::Settings {
+    balancer::Settings { discovery_mode: mode, ..settings() }
+}
+
 /// However long the agent does not respond, the process is ready in time, but knows no endpoint until then: the
 /// agent may have received that the old one drains.
 #[test]
@@ -20,8 +24,12 @@
                 ServerBehavior { is_rejecting: !outage.is_zero(), ..ServerBehavior::immediate(42, "new") };
             let (address, behavior_sender) = discovery(rejecting).await;
             let started = Instant::now();
-            let (client, ready) =
-                DiscoveryClient::start_with_cache(Mode::Push, 1, address, Some(cached_list(false)));
+            let (client, ready) = DiscoveryClient::start_with_cache(
+                settings_with(Mode::Push),
+                1,
+                address,
+                Some(cached_list(false)),
+            );
             let mut ready_after = None;
             while started.elapsed() < outage {
                 advance_time().await;
@@ -48,8 +56,12 @@
         run(async {
             let rejecting = ServerBehavior { is_rejecting: true, ..ServerBehavior::immediate(42, "new") };
             let (address, _behavior_sender) = discovery(rejecting).await;
-            let (client, mut ready) =
-                DiscoveryClient::start_with_cache(mode, 1, address, Some(cached_list(is_followed)));
+            let (client, mut ready) = DiscoveryClient::start_with_cache(
+                settings_with(mode),
+                1,
+                address,
+                Some(cached_list(is_followed)),
+            );
             let started = Instant::now();
             let is_ready = timeout(READY_WITHIN, ready.wait_for(|ready| *ready)).await;
             assert!(is_ready.is_ok_and(|ready| ready.is_ok()), "{mode:?}");
@@ -58,3 +70,34 @@
         });
     }
 }
+
+/// The first poll of a new process in a large fleet is lost. The list from before the start is then replaced
+/// while a drain that it does not have may still be unknown: 6 s until it counts as received, and the grace.
+#[test]
+fn polled_list_is_replaced_in_time_after_a_lost_first_poll() {
+    const DRAIN_GRACE: Duration = Duration::from_millis(1_500);
+    for seed in 0..24 {
+        run(async {
+            let (listener, started) = (listen().await, Instant::now());
+            let mut settings = settings_with(Mode::Pull);
+            settings.balancer_count = 300;
+            settings.contract.max_notification_delay = Some(10_000.0);
+            let address = listener.local_addr().expect("no local address");
+            let (client, _ready) =
+                DiscoveryClient::start_with_cache(settings, seed, address, Some(cached_list(false)));
+            let (_lost, first_poll_after) = accept_poll(&listener).await;
+            let (_behavior_sender, behavior) = watch::channel(ServerBehavior::immediate(42, "new"));
+            spawn_local(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    spawn_local(serve_polls(stream, behavior.clone()));
+                }
+            });
+            client.wait_until_listed("new").await;
+            let took = started.elapsed();
+            assert!(
+                took <= EFFECTIVE_WITHIN + DRAIN_GRACE,
+                "seed {seed}: first poll after {first_poll_after:?}, in effect after {took:?}"
+            );
+        });
+    }
+}
