Play the shutdown in a discovery outage with a polled list, which may be served

Cause: discovery_outage_leaves_no_request_unanswered gave a process a list with pushed discovery that is silent or refuses, and waited for a request at the endpoint. Change: discovery is polled there, which serves from the list; both kinds of outage, the process without endpoints and all assertions are as before. That a pushed list is not served has tests of its own.

--- a/client-proxy/tests/shutdown_faults.rs
+++ b/client-proxy/tests/shutdown_faults.rs
@@ -196,6 +196,8 @@
         });
         let start_with_list = |endpoints: Value| {
             start_proxy(address, |config| {
+                // A pushed list would not be used before the agent has confirmed it.
+                config["settings"]["discovery"] = json!("subscribe");
                 config["known"] = json!({"index": 41, "snapshot": true, "endpoints": endpoints});
             })
         };
