Read less ahead of clients' requests, and hold no buffer while a connection closes

Cause: up to 16 KiB behind a request were read ahead, to see an end of the stream behind them, in buffers that double as they are extended; connections that wait for memory had read 4 KiB, and a connection that closes had 8 KiB. No reservation stands for any of it. Change: 2 KiB, in buffers of their size; 1 KiB for a head that is waited for; the rest of a closing connection is read onto the stack. The system tells of an end behind unread data by itself; a client of which 16 KiB are unread is of unknown status as before (MAX_UNREAD), and the tests use that size, with more sizes than before.

--- a/client-proxy/src/monitored_stream.rs
+++ b/client-proxy/src/monitored_stream.rs
@@ -43,14 +43,15 @@
     Connected,
     /// It has ended the connection.
     HungUp(HangUp),
-    /// More data is unread than is read ahead. The end of the stream may be behind it, and is not received
-    /// while the socket buffer is full.
+    /// So much data is unread that the socket buffer may be full, and then an end of the stream is not received.
     Unknown,
 }
 
 /// Bytes that are read ahead at most to detect an end of stream behind unread data.
-const MAX_READ_AHEAD: usize = 16 * 1024;
-/// How often to check for an end of stream behind more data than that.
+const MAX_READ_AHEAD: usize = 2 * 1024;
+/// With so many bytes unread, an end of stream may be hidden: it is not received while the socket buffer is full.
+const MAX_UNREAD: usize = 16 * 1024;
+/// How often to check for an end of stream behind more data than is read ahead.
 const READ_AHEAD_RECHECK: Duration = Duration::from_millis(20);
 
 /// What the system may hold of the data written to a connection. A socket is writable again once a third of its
@@ -241,10 +242,9 @@
         // Tells a client that waits for the rest of a truncated response that there is no more. Fails only if
         // the peer has closed.
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
-        let mut discarded = vec![0; 8 * 1024];
         let drained = async {
             while self.stream.readable().await.is_ok() {
-                match self.stream.try_read(&mut discarded) {
+                match self.stream.try_read(&mut [0; 8 * 1024]) {
                     Ok(0) => return,
                     Err(error) if !is_transient(&error) => return,
                     _ => {}
--- a/client-proxy/src/monitored_stream/hang_up.rs
+++ b/client-proxy/src/monitored_stream/hang_up.rs
@@ -10,7 +10,9 @@
 use tokio::io::Interest;
 use tokio::time::{Instant, sleep};
 
-use super::{HangUp, MAX_READ_AHEAD, MAX_UNKNOWN_TIME, MonitoredStream, PeerStatus, READ_AHEAD_RECHECK};
+use super::{
+    HangUp, MAX_READ_AHEAD, MAX_UNKNOWN_TIME, MAX_UNREAD, MonitoredStream, PeerStatus, READ_AHEAD_RECHECK,
+};
 
 impl MonitoredStream {
     /// Whether the peer has closed or reset the connection, as far as the runtime has reported. Reads ahead
@@ -36,7 +38,7 @@
     pub fn query_status(&self) -> PeerStatus {
         match self.query_hang_up() {
             Some(hung_up) => PeerStatus::HungUp(hung_up),
-            None if self.is_read_ahead_full() => PeerStatus::Unknown,
+            None if self.may_hide_end() => PeerStatus::Unknown,
             None => PeerStatus::Connected,
         }
     }
@@ -51,12 +53,18 @@
         self.read_ahead_buffer.borrow().length >= MAX_READ_AHEAD
     }
 
+    /// Whether the peer may have ended the connection without the system knowing.
+    fn may_hide_end(&self) -> bool {
+        self.is_read_ahead_full() && (self.unread_bytes() >= MAX_UNREAD || !self.is_receive_window_open())
+    }
+
     fn read_ahead(&self, read: impl Fn(&mut [u8]) -> io::Result<usize>) -> Option<HangUp> {
         let mut buffer = self.read_ahead_buffer.borrow_mut();
         let asked = Instant::now();
         while self.hung_up.get().is_none() && buffer.length < MAX_READ_AHEAD {
             let mut chunk = [0; 1024];
-            match read(&mut chunk) {
+            let limit = chunk.len().min(MAX_READ_AHEAD - buffer.length);
+            match read(&mut chunk[..limit]) {
                 Ok(0) => self.hung_up.set(Some(HangUp::Closed)),
                 Ok(read) => buffer.push(&chunk[..read], self.last_empty.get()),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
@@ -98,7 +106,7 @@
                 let _ = self.stream.readable().await;
                 // The socket buffer was empty until now: the runtime wakes this task as soon as data arrives.
                 self.last_empty.set(Instant::now());
-            } else if self.is_unknown_for_too_long() {
+            } else if self.may_hide_end() && self.is_unknown_for_too_long() {
                 return HangUp::Closed;
             } else {
                 sleep(READ_AHEAD_RECHECK).await;
--- a/client-proxy/src/monitored_stream/head_arrival.rs
+++ b/client-proxy/src/monitored_stream/head_arrival.rs
@@ -24,21 +24,29 @@
     End,
 }
 
+/// Bytes of it that are read at once: a usual head is shorter, and what is behind it stays unread.
+const AWAITED_BYTES: usize = 1024;
+
 impl MonitoredStream {
     /// Reads ahead until the head of a request has arrived.
     pub async fn wait_for_head(&self) -> Arrival {
         poll_fn(|cx| self.poll_head(cx)).await
     }
 
+    /// Length of the next head, if all of it has been read ahead.
+    pub fn read_ahead_head_bytes(&self) -> Option<usize> {
+        self.read_ahead_buffer.borrow_mut().join_head()
+    }
+
     fn poll_head(&self, cx: &mut Context<'_>) -> Poll<Arrival> {
         loop {
             if let Some(arrival) = self.arrival() {
                 return Poll::Ready(arrival);
             }
-            let mut chunk = [MaybeUninit::uninit(); MAX_AWAITED_HEAD];
+            let mut chunk = [MaybeUninit::uninit(); AWAITED_BYTES];
             let mut buf = ReadBuf::uninit(&mut chunk);
             let was_waiting = self.is_reader_waiting.take();
-            let received = ready!(self.poll_receive(cx, &mut buf, MAX_AWAITED_HEAD, was_waiting));
+            let received = ready!(self.poll_receive(cx, &mut buf, AWAITED_BYTES, was_waiting));
             match received {
                 Ok(()) if buf.filled().is_empty() => self.hung_up.set(Some(HangUp::Closed)),
                 Ok(()) => {
--- a/client-proxy/src/monitored_stream/read_ahead.rs
+++ b/client-proxy/src/monitored_stream/read_ahead.rs
@@ -53,7 +53,9 @@
     pub(super) fn push(&mut self, bytes: &[u8], sent_after: Instant) {
         self.length += bytes.len();
         let is_full = self.segments.len() >= MAX_SEGMENTS;
-        match self.segments.back_mut().filter(|last| is_full || last.sent_after == sent_after) {
+        // A buffer that is extended doubles, and stays as large when a part of it has been taken.
+        let fits = |last: &Segment| last.bytes.capacity() - last.bytes.len() >= bytes.len();
+        match self.segments.back_mut().filter(|last| is_full || last.sent_after == sent_after && fits(last)) {
             Some(last) => last.bytes.extend_from_slice(bytes),
             None => self.segments.push_back(Segment { bytes: bytes.into(), sent_after }),
         }
@@ -73,7 +75,8 @@
         let end = self.segments.iter().position(|segment| scan.is_complete_with(&segment.bytes));
         let joined = end.map_or(self.segments.len(), |end| end + 1);
         if joined > 1 {
-            let mut head = BytesMut::new();
+            let length = self.segments.range(..joined).map(|segment| segment.bytes.len()).sum();
+            let mut head = BytesMut::with_capacity(length);
             let mut sent_after = None;
             for segment in self.segments.drain(..joined) {
                 head.extend_from_slice(&segment.bytes);
--- a/client-proxy/src/monitored_stream/tests.rs
+++ b/client-proxy/src/monitored_stream/tests.rs
@@ -80,7 +80,7 @@
 #[test]
 fn hang_up_behind_read_ahead_is_detected() {
     run(async {
-        for extra in [0, 1, MAX_READ_AHEAD] {
+        for extra in [0, 1, MAX_READ_AHEAD, MAX_UNREAD, 2 * MAX_UNREAD] {
             let (watched, mut peer) = connected_pair().await;
             peer.write_all(&vec![0; MAX_READ_AHEAD + extra]).expect("could not write");
             // The runtime does not run from here on.
@@ -97,13 +97,13 @@
     run_paused(async {
         let (watched, mut peer) = connected_pair().await;
         assert_eq!(watched.query_status(), PeerStatus::Connected);
-        peer.write_all(&vec![0; MAX_READ_AHEAD + 1]).expect("could not write");
+        peer.write_all(&vec![0; MAX_UNREAD + 1]).expect("could not write");
         let written = Instant::now();
         assert_eq!(watched.query_status(), PeerStatus::Unknown);
         assert_eq!(watched.wait_for_hang_up().await, HangUp::Closed);
         let waited = written.elapsed();
         assert!((MAX_UNKNOWN_TIME..Duration::from_millis(100)).contains(&waited), "{waited:?}");
-        let mut unread = vec![0; MAX_READ_AHEAD + 1];
+        let mut unread = vec![0; MAX_UNREAD + 1];
         let mut io = Io(Rc::clone(&watched));
         tokio::io::AsyncReadExt::read_exact(&mut io, &mut unread).await.expect("could not read");
         assert_eq!(watched.query_status(), PeerStatus::Connected, "nothing is unread any more");
