Bound connections to endpoints by the memory that they have

Cause: the share of the limit for active connections to endpoints is for 282 of them at 32 MB and 1,024 descriptors, but only descriptors bounded their number, at 750. Evidence: scratch copy, 700 clients with 100 pipelined GETs of usual fields: 397 such connections, 16 KiB of HTTP buffers and 8.7 KB of task for each, 36.9 MB of 32. Change: where memory is scarcer than descriptors, the upstream side of the socket budget is limited to what the share pays for; a request beyond that waits as for a free descriptor. Elsewhere (most settings: 48 MB with 512 descriptors, 192 with 1,024) nothing changes. No test at the whole process forces it: in a debug build the crowd does not come to so many connections.

--- a/client-proxy/src/main.rs
+++ b/client-proxy/src/main.rs
@@ -123,6 +123,7 @@
     let processes = if listener_shared { MAX_PROCESSES } else { 1 };
     let memory_pools = Rc::new(MemoryPools::new(memory, sockets, processes));
     let sockets = SocketBudget::new(sockets, admin_listener.as_ref().map_or(0, |_| admin::MAX_DESCRIPTORS));
+    sockets.limit_upstreams(memory_pools.max_endpoint_connections());
     let memory_usage = Rc::new(MemoryUsage::new(memory, Rc::clone(&memory_pools), Rc::clone(&sockets)));
     spawn_local(Rc::clone(&memory_usage).watch());
     let endpoints = EndpointPool::new(
@@ -298,6 +299,7 @@
         let processes = if started.is_cancelled() { process_state.processes() } else { MAX_PROCESSES };
         sockets.split_among(processes);
         memory_pools.share_with(processes);
+        sockets.limit_upstreams(memory_pools.max_endpoint_connections());
         while sockets.is_exceeded() && endpoints.evict_idle() {
             tokio::task::yield_now().await;
         }
--- a/client-proxy/src/memory_budget.rs
+++ b/client-proxy/src/memory_budget.rs
@@ -55,6 +55,8 @@
 /// The same for streamed bodies: a few of them.
 const MIN_STREAMED_POOL_BYTES: usize = 384 * 1024;
 const PERMIT_BYTES: usize = 1024;
+/// Connections to endpoints that are allowed at least, however low the limit.
+const MIN_ENDPOINT_CONNECTIONS: usize = 16;
 
 /// Memory of client connections that serve requests. Long heads have a pool of their own, so that requests with a
 /// usual one do not wait behind them.
@@ -120,6 +122,10 @@
     pub responses: Rc<MemoryBudget>,
     /// For heads with many fields.
     pub fields: FieldMemory,
+    /// Connections to endpoints that one process alone may have.
+    endpoint_connections: usize,
+    /// Parts into which the budgets are split at present.
+    parts: Cell<usize>,
 }
 
 /// Bytes that are reserved at present.
@@ -135,7 +141,8 @@
 impl MemoryPools {
     /// The budgets where so many processes may use `limit` bytes in total and `sockets` connections.
     pub fn new(limit: usize, sockets: usize, processes: usize) -> MemoryPools {
-        let Shares { exchanges, long_heads, bodies } = Shares::new(limit, sockets, processes);
+        let Shares { exchanges, long_heads, bodies, endpoint_connections } =
+            Shares::new(limit, sockets, processes);
         let budget = || Rc::new(MemoryBudget::new(bodies));
         MemoryPools {
             exchanges: ExchangeMemory {
@@ -145,13 +152,21 @@
             requests: budget(),
             responses: budget(),
             fields: FieldMemory(PermitPool::new(bodies / FIELD_SHARE_DIVISOR)),
+            endpoint_connections,
+            parts: Cell::new(1),
         }
     }
 
+    /// The most connections to endpoints for which there is memory.
+    pub fn max_endpoint_connections(&self) -> usize {
+        (self.endpoint_connections / self.parts.get()).max(MIN_ENDPOINT_CONNECTIONS)
+    }
+
     /// Reduces all budgets while so many processes run. Memory that is reserved beyond that is given up as it is
     /// released.
     pub fn share_with(&self, processes: usize) {
         let parts = if processes > 1 { PARTS_IN_UPGRADE } else { 1 };
+        self.parts.set(parts);
         self.exchanges.split_among(parts);
         self.requests.split_among(parts);
         self.responses.split_among(parts);
@@ -176,6 +191,8 @@
     long_heads: usize,
     /// For bodies and long heads.
     bodies: usize,
+    /// Connections to endpoints, unlimited if descriptors are scarcer than memory.
+    endpoint_connections: usize,
 }
 
 impl Shares {
@@ -190,10 +207,20 @@
         let all_active = sockets * ACTIVE_CONNECTION_BYTES;
         let most_exchanges = all_active * MAX_SIDE_SHARE.0 / MAX_SIDE_SHARE.1;
         let exchanges = most_exchanges.min(available / 100 * EXCHANGE_PERCENT);
-        let endpoints = (all_active - exchanges).min(available / 100 * ACTIVE_ENDPOINT_PERCENT);
+        let most_endpoints = available / 100 * ACTIVE_ENDPOINT_PERCENT;
+        let endpoints = (all_active - exchanges).min(most_endpoints);
         let long_heads = available / 100 * LONG_HEAD_PERCENT;
         let bodies = available.saturating_sub(exchanges + long_heads + endpoints);
-        Shares { exchanges, long_heads, bodies: bodies.max(limit / processes / MIN_SHARE_DIVISOR) }
+        let endpoint_connections = match exchanges < most_exchanges {
+            true => most_endpoints / ACTIVE_CONNECTION_BYTES,
+            false => usize::MAX,
+        };
+        Shares {
+            exchanges,
+            long_heads,
+            bodies: bodies.max(limit / processes / MIN_SHARE_DIVISOR),
+            endpoint_connections,
+        }
     }
 }
 
--- a/client-proxy/src/socket_budget.rs
+++ b/client-proxy/src/socket_budget.rs
@@ -29,6 +29,8 @@
     limit: usize,
     reserved: usize,
     max_open: Cell<usize>,
+    /// The most connections to endpoints for which there is memory.
+    max_upstream: Cell<usize>,
     used: [Cell<usize>; 2],
     slot_freed: Notify,
 }
@@ -36,9 +38,14 @@
 impl SocketBudget {
     /// A budget within `limit` descriptors, of which `reserved` are for other uses.
     pub fn new(limit: usize, reserved: usize) -> Rc<SocketBudget> {
-        let (reserved, max_open) = (RESERVED_DESCRIPTORS + reserved, Cell::new(0));
-        let sockets =
-            SocketBudget { limit, reserved, max_open, used: Default::default(), slot_freed: Notify::new() };
+        let sockets = SocketBudget {
+            limit,
+            reserved: RESERVED_DESCRIPTORS + reserved,
+            max_open: Cell::new(0),
+            max_upstream: Cell::new(usize::MAX),
+            used: Default::default(),
+            slot_freed: Notify::new(),
+        };
         sockets.split_among(1);
         Rc::new(sockets)
     }
@@ -46,7 +53,12 @@
     /// Takes a slot for one more connection, if one is free for that side.
     pub fn try_acquire(self: &Rc<Self>, side: Side) -> Option<SocketPermit> {
         let used = &self.used[side as usize];
-        if self.is_full() || used.get() >= self.max_open.get() * MAX_SIDE_SHARE.0 / MAX_SIDE_SHARE.1 {
+        let share = self.max_open.get() * MAX_SIDE_SHARE.0 / MAX_SIDE_SHARE.1;
+        let allowed = match side {
+            Side::Client => share,
+            Side::Upstream => share.min(self.max_upstream.get()),
+        };
+        if self.is_full() || used.get() >= allowed {
             return None;
         }
         used.set(used.get() + 1);
@@ -61,6 +73,11 @@
         }
     }
 
+    /// Allows at most so many connections to endpoints; those that are open beyond that stay.
+    pub fn limit_upstreams(&self, connections: usize) {
+        self.max_upstream.set(connections);
+    }
+
     /// Connections that are open on one side.
     pub fn used(&self, side: Side) -> usize {
         self.used[side as usize].get()
--- a/client-proxy/src/socket_budget/tests.rs
+++ b/client-proxy/src/socket_budget/tests.rs
@@ -26,3 +26,12 @@
     sockets.split_among(1);
     assert!(sockets.try_acquire(Side::Client).is_some());
 }
+
+#[test]
+fn upstreams_stay_within_their_memory() {
+    let sockets = SocketBudget::new(RESERVED_DESCRIPTORS + 12, 0);
+    sockets.limit_upstreams(2);
+    let upstreams: Vec<SocketPermit> = std::iter::from_fn(|| sockets.try_acquire(Side::Upstream)).collect();
+    assert_eq!(upstreams.len(), 2);
+    assert!(sockets.try_acquire(Side::Client).is_some());
+}
