Give up a connection's memory between its requests while others wait for it

Cause: a client connection keeps its memory until it is at rest, that is, for all requests behind one another. Others wait 0.5 s for memory and are refused. Evidence: 20 of 20 requests of another client got 503; INFO showed 27 requests in progress, all of the exchanges' pool reserved. Change: the HTTP library gets one head at a time of what has been read ahead, and after a response the connection gives up its HTTP buffers and memory if another one waits, and queues behind it. Without a wait nothing changes: a client that sends one request at a time has nothing read ahead.

--- a/client-proxy/src/clients/client_io.rs
+++ b/client-proxy/src/clients/client_io.rs
@@ -11,6 +11,7 @@
 use super::ClientContext;
 use super::connection_state::ConnectionState;
 use crate::endpoint_pool::BUFFER_SIZE;
+use crate::memory_budget::MemoryPools;
 use crate::monitored_stream::{Io, MAX_AWAITED_HEAD};
 
 /// The client stream as hyper sees it: during the last phase of a shutdown it reads no further requests, and it
@@ -19,6 +20,9 @@
     io: Io,
     conn: Rc<ConnectionState>,
     kill_imminent: CancellationToken,
+    memory: Rc<MemoryPools>,
+    /// Requests that had begun when this HTTP connection began.
+    requests_at_start: usize,
     /// Requests that had begun when the current head was first read.
     requests_before: usize,
     /// Bytes read since the last of them.
@@ -38,12 +42,19 @@
             io: Io(Rc::clone(&conn.stream)),
             conn: Rc::clone(conn),
             kill_imminent: context.shutdown.kill_imminent.clone(),
+            memory: Rc::clone(&context.memory),
+            requests_at_start: conn.requests_begun.get(),
             requests_before: conn.requests_begun.get(),
             head_bytes: 0,
             is_long_head_reserved,
         }
     }
 
+    /// Whether another connection waits for the memory that this one keeps to serve its next request.
+    fn is_next_turn_due(&self) -> bool {
+        self.conn.requests_begun.get() > self.requests_at_start && self.memory.exchanges.is_awaited()
+    }
+
     /// Bytes of the current head, and of what follows it, that may be read on.
     fn head_limit(&mut self) -> usize {
         let requests_begun = self.conn.requests_begun.get();
@@ -68,7 +79,12 @@
         if self.conn.is_in_body() {
             return Pin::new(&mut self.io).poll_read(cx, buf);
         }
-        let limit = self.head_limit();
+        if self.is_next_turn_due() {
+            self.conn.yields_memory.set(true);
+            return Poll::Pending;
+        }
+        // Requests behind the next one stay unread, so that others can have their turns in between.
+        let limit = self.head_limit().min(self.io.0.read_ahead_head_bytes().unwrap_or(usize::MAX));
         if limit == 0 {
             // The connection waits for memory for the rest without its buffers.
             self.conn.has_long_head.set(true);
--- a/client-proxy/src/clients/connection.rs
+++ b/client-proxy/src/clients/connection.rs
@@ -154,6 +154,7 @@
     // whether it has disconnected.
     builder.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(BUFFER_SIZE).half_close(true);
     conn.has_long_head.set(false);
+    conn.yields_memory.set(false);
     let io = ClientIo::new(conn, context, exchange.is_head_long);
     let close_responses_before = conn.close_responses.get();
     let service = service_fn(|request| respond_to(request, Rc::clone(context), Rc::clone(conn)));
--- a/client-proxy/src/clients/connection_state.rs
+++ b/client-proxy/src/clients/connection_state.rs
@@ -56,6 +56,8 @@
     pub(super) requests_begun: Cell<usize>,
     /// The head that is being read is longer than there is memory for.
     pub(super) has_long_head: Cell<bool>,
+    /// Others wait for the memory that this connection keeps for its next request.
+    pub(super) yields_memory: Cell<bool>,
     /// Reading state of the newest request.
     pub(super) request_end: RefCell<Rc<RequestEnd>>,
     /// Responses that asked the client to reconnect (`Connection: close`).
@@ -83,6 +85,7 @@
             is_streaming: Cell::new(false),
             requests_begun: Cell::new(0),
             has_long_head: Cell::new(false),
+            yields_memory: Cell::new(false),
             request_end: RefCell::default(),
             close_responses: Cell::new(0),
             local_responses: Cell::new(0),
@@ -164,7 +167,8 @@
     pub(super) fn is_at_rest(&self) -> bool {
         let is_idle = self.idle_since.get().is_some() && self.stream.first_byte_at().is_none();
         let is_answered = self.active_requests.get() == 0 && self.request_end().is_reached();
-        is_answered && self.stream.write_stalled_for().is_zero() && (is_idle || self.has_long_head.get())
+        let waits_for_memory = self.has_long_head.get() || self.yields_memory.get();
+        is_answered && self.stream.write_stalled_for().is_zero() && (is_idle || waits_for_memory)
     }
 
     /// Waits until the connection is at rest: [`REST_DELAY`] after a short message, else at once. This is checked at
@@ -172,7 +176,8 @@
     pub(super) async fn wait_for_rest(&self) {
         loop {
             std::future::poll_fn(|_| if self.is_at_rest() { Poll::Ready(()) } else { Poll::Pending }).await;
-            let keeps_buffers = !self.has_long_message() && !self.has_long_head.get();
+            let waits_for_memory = self.has_long_head.get() || self.yields_memory.get();
+            let keeps_buffers = !self.has_long_message() && !waits_for_memory;
             let rests_since =
                 self.idle_since.get().filter(|since| keeps_buffers && since.elapsed() < REST_DELAY);
             let Some(rests_since) = rests_since else { return };
--- a/client-proxy/src/memory_budget.rs
+++ b/client-proxy/src/memory_budget.rs
@@ -63,6 +63,24 @@
 pub struct ExchangeMemory {
     exchanges: PermitPool,
     long_heads: PermitPool,
+    /// Connections that wait for memory.
+    waiting: Cell<usize>,
+}
+
+/// Counts one connection that waits, until it is dropped.
+struct Waiting<'c>(&'c Cell<usize>);
+
+impl<'c> Waiting<'c> {
+    fn new(waiting: &'c Cell<usize>) -> Waiting<'c> {
+        waiting.set(waiting.get() + 1);
+        Waiting(waiting)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 /// Memory of one exchange; returned to its pools on drop.
@@ -74,6 +92,7 @@
 impl ExchangeMemory {
     /// Waits until memory for one exchange is available; more of it if its head is long.
     pub async fn reserve(&self, is_head_long: bool) -> Option<ExchangePermit> {
+        let _waiting = Waiting::new(&self.waiting);
         let long_head = match is_head_long {
             true => Some(self.long_heads.acquire(LONG_HEAD_BYTES).await?),
             false => None,
@@ -82,6 +101,11 @@
         Some(ExchangePermit { _exchange: exchange, _long_head: long_head })
     }
 
+    /// Whether a connection waits for memory.
+    pub fn is_awaited(&self) -> bool {
+        self.waiting.get() > 0
+    }
+
     fn split_among(&self, parts: usize) {
         self.exchanges.split_among(parts);
         self.long_heads.split_among(parts);
@@ -148,6 +172,7 @@
             exchanges: ExchangeMemory {
                 exchanges: PermitPool::new(exchanges),
                 long_heads: PermitPool::new(long_heads),
+                waiting: Cell::default(),
             },
             requests: budget(),
             responses: budget(),
--- a/client-proxy/tests/client_crowds.rs
+++ b/client-proxy/tests/client_crowds.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
-use std::time::Duration;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
 
 use common::bodies::*;
 use common::crowds::*;
@@ -20,6 +20,8 @@
 const PIECE_BYTES: usize = 40;
 /// How long a crowd comes again: several times as long as a request waits for memory.
 const RETURNING_TIME: Duration = Duration::from_secs(4);
+/// How long an endpoint takes for each of many pipelined requests.
+const PIPELINED_WORK: Duration = Duration::from_millis(300);
 /// Threads that read responses side by side.
 const THREADS: usize = 7;
 
@@ -49,7 +51,11 @@
 
     /// A client proxy whose endpoint gives responses of this length.
     fn without_clients(response_length: usize) -> Crowd {
-        let upstream = long_response_upstream(response_length);
+        Crowd::at_upstream(long_response_upstream(response_length))
+    }
+
+    /// A client proxy with this endpoint.
+    fn at_upstream(upstream: SocketAddr) -> Crowd {
         let discovery_server = DiscoveryServer::start(twelve_endpoints_at(upstream));
         let proxy = Proxy::start(&limited_config(discovery_server.address));
         discovery_server.wait_until_list_received();
@@ -164,3 +170,38 @@
     ];
     assert_crowd_within_limits("mixed", &texts);
 }
+
+/// A client proxy beside clients that write many requests at once, each of which takes a while, and come again once they
+/// have a response.
+fn pipelining_crowd(fields: &str, observe: impl FnOnce(&Crowd, &mut ReturningCrowd)) {
+    const PIPELINED: usize = 100;
+    let server = Crowd::at_upstream(slow_upstream(PIPELINED_WORK));
+    let texts = [complete_request(fields).repeat(PIPELINED)];
+    let mut crowd = ReturningCrowd::connect(server.proxy.address, &texts, usize::MAX);
+    crowd.go_on(RETURNING_TIME, || {});
+    observe(&server, &mut crowd);
+    drop(crowd);
+    server.assert_within_limits("pipelined requests");
+}
+
+/// Requests behind one another must not take memory while the first of them is served, and a connection must not keep
+/// its memory for all of them: others would never be served.
+#[test]
+fn crowd_that_pipelines_requests_stays_within_memory_and_lets_others_be_served() {
+    const SERVED_BESIDE: usize = 5;
+    pipelining_crowd(&short_fields(), |server, crowd| {
+        let (started, mut served) = (Instant::now(), 0);
+        while served < SERVED_BESIDE {
+            assert!(started.elapsed() < TEST_TIMEOUT, "{served} requests of another client were served");
+            let request = post("keep", 3000, "Idempotency-Key: 5c0f\r\n", "");
+            served += usize::from(server.proxy.client().round_trip(&request).status() == 200);
+            crowd.go_on(PIPELINED_WORK, || {});
+        }
+    });
+}
+
+/// With usual fields more requests are sent to endpoints at once, and each of their connections takes memory.
+#[test]
+fn crowd_that_pipelines_usual_requests_stays_within_memory() {
+    pipelining_crowd("", |_, crowd| crowd.go_on(RETURNING_TIME, || {}));
+}
--- a/client-proxy/tests/common/crowds.rs
+++ b/client-proxy/tests/common/crowds.rs
@@ -74,6 +74,18 @@
     })
 }
 
+/// An upstream that takes so long for each request.
+pub fn slow_upstream(work: Duration) -> SocketAddr {
+    raw_upstream(move |reader, writer| {
+        while read_head(reader).is_some() {
+            std::thread::sleep(work);
+            if writer.write_all(http_response("200 OK", "", "fine").as_bytes()).is_err() {
+                return;
+            }
+        }
+    })
+}
+
 pub fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
     let client = TcpStream::connect(address)?;
     client.set_nonblocking(true)?;
