--- a/client-proxy/src/memory_budget.rs
+++ b/client-proxy/src/memory_budget.rs
@@ -63,7 +63,7 @@
 pub struct ExchangeMemory {
     exchanges: PermitPool,
     long_heads: PermitPool,
-    /// Connections that wait for memory.
+    /// Connections that wait for the memory of an exchange.
     waiting: Cell<usize>,
 }
 
@@ -92,16 +92,16 @@
 impl ExchangeMemory {
     /// Waits until memory for one exchange is available; more of it if its head is long.
     pub async fn reserve(&self, is_head_long: bool) -> Option<ExchangePermit> {
-        let _waiting = Waiting::new(&self.waiting);
         let long_head = match is_head_long {
             true => Some(self.long_heads.acquire(LONG_HEAD_BYTES).await?),
             false => None,
         };
+        let _waiting = Waiting::new(&self.waiting);
         let exchange = self.exchanges.acquire(ACTIVE_CONNECTION_BYTES).await?;
         Some(ExchangePermit { _exchange: exchange, _long_head: long_head })
     }
 
-    /// Whether a connection waits for memory.
+    /// Whether a connection waits for the memory of an exchange.
     pub fn is_awaited(&self) -> bool {
         self.waiting.get() > 0
     }
