Reserve what the program takes by its size at the start, not by a constant

Cause: the program counted as 5 MiB. In the test build a process without connections has 6.1 to 6.5 MB resident (5.5 of it the program's file), in the release build 5.8, and two processes have it twice. The shares added up to the limit with 5 MiB each, so by price 34.5 MB could be in use. The floor for bodies, a fifth of the limit, was beyond it by another 0.3 MB with 1,024 descriptors. Change: the resident memory at the start, and 1.75 MiB for what is not loaded yet; the floor is an eighth.

--- a/client-proxy/src/clients/tests.rs
+++ b/client-proxy/src/clients/tests.rs
@@ -11,6 +11,7 @@
 
 use super::*;
 use crate::driver::tests::{driver, settings};
+use crate::memory_budget::MemoryLimits;
 use crate::monitored_stream::MonitoredStream;
 use crate::socket_budget::Side;
 
@@ -34,7 +35,8 @@
 
 /// The context of client connections where nothing is forwarded.
 pub(crate) fn context() -> Rc<ClientContext> {
-    let (sockets, memory) = (SocketBudget::new(1024, 0), Rc::new(MemoryPools::new(32 << 20, 256, 1)));
+    let limits = MemoryLimits { total: 32 << 20, program: 6 << 20, sockets: 256, processes: 1 };
+    let (sockets, memory) = (SocketBudget::new(1024, 0), Rc::new(MemoryPools::new(&limits)));
     let endpoints = EndpointPool::new(Rc::clone(&sockets), Rc::clone(&memory.responses), 1000.0, 100.0);
     let (ready, shutdown) = (watch::channel(true).1, Shutdown::default());
     let names = Names { classes: vec!["look".to_owned()], ..Names::default() };
--- a/client-proxy/src/memory_budget.rs
+++ b/client-proxy/src/memory_budget.rs
@@ -20,8 +20,6 @@
 /// Memory of one streamed body: the buffers of both connections, beyond those of a connection at rest, and the
 /// chunks between them.
 pub const STREAMED_BODY_BYTES: usize = 72 * 1024;
-/// Memory of the program without connections.
-const PROGRAM_BYTES: usize = 5 << 20;
 /// Memory of one connection at rest, on either side: the socket's state and its task.
 const CONNECTION_BYTES: usize = 4 * 1024;
 /// Memory of one client connection that serves a request, or of one to an endpoint that carries one, beyond that: the
@@ -39,7 +37,7 @@
 /// stays resident, so that one part has to fit beside it.
 const PARTS_IN_UPGRADE: usize = 3;
 /// At least this part of the limit is for heads and bodies, however many connections are allowed.
-const MIN_SHARE_DIVISOR: usize = 5;
+const MIN_SHARE_DIVISOR: usize = 8;
 /// Divisors of the memory for heads and bodies: sizes of the pools for buffered and for streamed bodies of one
 /// direction, and for fields of heads. The rest is for what malloc leaves unused.
 const BUFFERED_SHARE_DIVISOR: usize = 8;
@@ -136,6 +134,19 @@
 /// Reserved memory; returned to its pool on drop.
 pub type MemoryPermit = OwnedSemaphorePermit;
 
+/// What the processes of a client proxy may use together; memory is in bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct MemoryLimits {
+    /// All of the memory.
+    pub total: usize,
+    /// What of it each process takes without connections.
+    pub program: usize,
+    /// Connections of both sides.
+    pub sockets: usize,
+    /// Processes that may run at the same time.
+    pub processes: usize,
+}
+
 /// All budgets of a process.
 pub struct MemoryPools {
     /// For client connections that serve requests.
@@ -163,10 +174,9 @@
 }
 
 impl MemoryPools {
-    /// The budgets where so many processes may use `limit` bytes in total and `sockets` connections.
-    pub fn new(limit: usize, sockets: usize, processes: usize) -> MemoryPools {
-        let Shares { exchanges, long_heads, bodies, endpoint_connections } =
-            Shares::new(limit, sockets, processes);
+    /// The budgets within these limits.
+    pub fn new(limits: &MemoryLimits) -> MemoryPools {
+        let Shares { exchanges, long_heads, bodies, endpoint_connections } = Shares::new(limits);
         let budget = || Rc::new(MemoryBudget::new(bodies));
         MemoryPools {
             exchanges: ExchangeMemory {
@@ -221,10 +231,11 @@
 }
 
 impl Shares {
-    /// Where so many processes may use `limit` bytes in total and `sockets` connections.
-    fn new(limit: usize, sockets: usize, processes: usize) -> Shares {
-        let at_rest = processes * PROGRAM_BYTES + sockets * CONNECTION_BYTES;
-        let unused = limit.saturating_sub(at_rest);
+    /// The parts of these limits.
+    fn new(limits: &MemoryLimits) -> Shares {
+        let MemoryLimits { total, program, sockets, processes } = *limits;
+        let at_rest = processes * program + sockets * CONNECTION_BYTES;
+        let unused = total.saturating_sub(at_rest);
         let available = match processes {
             1 => unused,
             _ => unused * PARTS_IN_UPGRADE / (PARTS_IN_UPGRADE + 1),
@@ -243,7 +254,7 @@
         Shares {
             exchanges,
             long_heads,
-            bodies: bodies.max(limit / processes / MIN_SHARE_DIVISOR),
+            bodies: bodies.max(total / processes / MIN_SHARE_DIVISOR),
             endpoint_connections,
         }
     }
--- a/client-proxy/src/memory_budget/tests.rs
+++ b/client-proxy/src/memory_budget/tests.rs
@@ -25,3 +25,21 @@
         assert!(budget.reserve_buffered(usize::MAX).await.is_some());
     });
 }
+
+/// A program that is larger than supposed would pass the limit, twice so in an upgrade.
+#[test]
+fn shares_leave_the_memory_of_the_programs() {
+    for (total, sockets) in [(32_000_000, 1024), (32_000_000, 256), (48_000_000, 1024), (192_000_000, 1024)] {
+        for (program, processes) in [(5 << 20, 1), (7 << 20, 1), (5 << 20, 2), (7 << 20, 2)] {
+            let limits = MemoryLimits { total, program, sockets, processes };
+            let shares = Shares::new(&limits);
+            let endpoints =
+                shares.endpoint_connections.min(sockets - shares.exchanges.div_ceil(ACTIVE_CONNECTION_BYTES));
+            let alone =
+                shares.exchanges + shares.long_heads + shares.bodies + endpoints * ACTIVE_CONNECTION_BYTES;
+            let beside = if processes > 1 { alone / PARTS_IN_UPGRADE } else { 0 };
+            let used = processes * program + sockets * CONNECTION_BYTES + alone + beside;
+            assert!(used <= total, "{limits:?}: {used}");
+        }
+    }
+}
--- a/client-proxy/src/memory_usage.rs
+++ b/client-proxy/src/memory_usage.rs
@@ -16,6 +16,12 @@
 const HIGH_PERCENT: usize = 85;
 const NORMAL_PERCENT: usize = 75;
 
+/// Memory of the program without connections, where the system does not tell how much of it is resident.
+const DEFAULT_PROGRAM_BYTES: usize = 6 << 20;
+/// What is added to the memory that is resident at the start: code that has not run yet, the endpoint list, and what
+/// the balancer learns.
+const PROGRAM_GROWTH_BYTES: usize = 1792 * 1024;
+
 /// Memory of a process as the system counts it, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ProcessMemory {
@@ -40,6 +46,12 @@
     }
 }
 
+/// What the program takes without connections, in bytes. To be called at the start: the size of the program differs
+/// between builds, and nothing else is resident yet.
+pub fn program_memory() -> usize {
+    ProcessMemory::read().map_or(DEFAULT_PROGRAM_BYTES, |memory| memory.resident + PROGRAM_GROWTH_BYTES)
+}
+
 /// Memory and connections of this process, beside their limits.
 pub struct MemoryUsage {
     limit: usize,
