Return memory that requests no longer use to the system in an upgrade

Cause: a process's share falls to a third when another one starts, but what its requests have used stays resident after they have ended: the allocator returns free memory only at the end of its heap. After a crowd of 700 had gone, 11,513,856 bytes of 11,509,760 were left, and stayed for the whole upgrade. Change: while two processes run, one above half of its share of the limit has the allocator return its unused pages, every 200 ms. libc is declared for malloc_trim. The sharing moves from main.rs to a module of its own. Result: memory_of_ended_requests_is_returned_in_an_upgrade failed before (after 20 s) and passes.

--- a/client-proxy/src/main.rs
+++ b/client-proxy/src/main.rs
@@ -26,6 +26,7 @@
 mod request_end;
 mod request_head;
 mod response_forwarding;
+mod shared_limits;
 mod shutdown;
 mod socket_budget;
 mod upstream_request;
@@ -55,14 +56,13 @@
 use crate::memory_usage::MemoryUsage;
 use crate::peer_link::PeerLink;
 use crate::process_state::ProcessState;
+use crate::shared_limits::{MAX_PROCESSES, SharedLimits};
 use crate::shutdown::Shutdown;
 use crate::socket_budget::SocketBudget;
 
-/// How often a process reads what its peer process has written to the state file and adjusts its share of the
-/// limits. Operator overrides take effect in both processes within a second.
+/// How often a process reads what its peer process has written to the state file. Operator overrides take effect in
+/// both processes within a second.
 const PEER_SYNC_INTERVAL: Duration = Duration::from_millis(200);
-/// Processes on an inherited listening socket: those of an upgrade.
-const MAX_PROCESSES: usize = 2;
 /// How long startup waits for the state folder before requests may be sent upstream: longer than a disk may
 /// hang (2 s), short enough for a new process to be ready within 6 s. Until then requests get the response
 /// for an unknown endpoint list.
@@ -160,7 +160,7 @@
     let longest_deadline = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
     if let Some(admin_listener) = admin_listener {
         tracing::info!("{name} answers operators on {}", admin_listener.local_addr()?);
-        let metrics = has_metrics.then_some(memory_usage);
+        let metrics = has_metrics.then(|| Rc::clone(&memory_usage));
         let admin = Admin { driver: Rc::clone(&driver), ready: discovery.ready(), memory_usage: metrics };
         spawn_local(admin::serve(admin_listener, Rc::new(admin)));
     }
@@ -168,9 +168,9 @@
     if listener_shared {
         let (process_state, sockets, endpoints) =
             (Rc::clone(&process_state), Rc::clone(&sockets), Rc::clone(&endpoints));
-        let memory_pools = Rc::clone(&memory_pools);
-        let started = started.clone();
-        spawn_local(share_limits_with_peer(process_state, started, sockets, memory_pools, endpoints));
+        let (memory_pools, memory_usage) = (Rc::clone(&memory_pools), Rc::clone(&memory_usage));
+        let shared = SharedLimits { sockets, memory_pools, memory_usage, endpoints };
+        spawn_local(shared.share_with_peer(process_state, started.clone()));
     }
     let shutdown = Shutdown::default();
     let context = ClientContext {
@@ -288,27 +288,6 @@
     false
 }
 
-/// Keeps this process within its share of the descriptor and memory limits while a peer process runs on the
-/// same listening socket. Before `started` it is not known whether one does.
-async fn share_limits_with_peer(
-    process_state: Rc<ProcessState>,
-    started: CancellationToken,
-    sockets: Rc<SocketBudget>,
-    memory_pools: Rc<MemoryPools>,
-    endpoints: Rc<EndpointPool>,
-) {
-    loop {
-        let processes = if started.is_cancelled() { process_state.processes() } else { MAX_PROCESSES };
-        sockets.split_among(processes);
-        memory_pools.share_with(processes);
-        sockets.limit_upstreams(memory_pools.max_endpoint_connections());
-        while sockets.is_exceeded() && endpoints.evict_idle() {
-            tokio::task::yield_now().await;
-        }
-        sleep(PEER_SYNC_INTERVAL).await;
-    }
-}
-
 /// Listens on `address`; errors name the configuration field or variable `field`.
 fn bind(field: &str, address: SocketAddr) -> std::io::Result<TcpListener> {
     accept::listen(address)
--- a/client-proxy/src/memory_usage.rs
+++ b/client-proxy/src/memory_usage.rs
@@ -22,6 +22,9 @@
 /// the balancer learns.
 const PROGRAM_GROWTH_BYTES: usize = 1792 * 1024;
 
+/// Divisor of a process's share of the limit; up to this part of it, unused memory is kept in an upgrade.
+const KEPT_SHARE_DIVISOR: usize = 2;
+
 /// Memory of a process as the system counts it, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ProcessMemory {
@@ -78,6 +81,15 @@
         })
     }
 
+    /// Gives memory that requests no longer use back to the system, while so many processes share the limit. Below a
+    /// part of this process's share it is kept, since it will be used again.
+    pub fn return_unused(&self, processes: usize) {
+        let kept = self.limit / processes / KEPT_SHARE_DIVISOR;
+        if ProcessMemory::read().is_some_and(|memory| memory.resident > kept) {
+            trim_allocator();
+        }
+    }
+
     /// Logs when memory comes near the limit, and when it is normal again. Runs for as long as the program.
     pub async fn watch(self: Rc<Self>) {
         let mut was_high = false;
@@ -100,5 +112,16 @@
     resident > limit / 100 * percent
 }
 
+/// Has the allocator return whole unused pages to the system, which it otherwise does only at the end of its heap.
+#[cfg(target_env = "gnu")]
+#[allow(unsafe_code)]
+fn trim_allocator() {
+    // SAFETY: `malloc_trim` may be called at any time and frees no memory that is allocated.
+    unsafe { libc::malloc_trim(0) };
+}
+
+#[cfg(not(target_env = "gnu"))]
+fn trim_allocator() {}
+
 #[cfg(test)]
 mod tests;
