Price connections to endpoints by what they take: 30 KB, not 20

Cause: an active connection to an endpoint counted as much as a client's exchange. Live allocations by size (trial, 218 active attempts): two buffers of 8 KiB as on the client's side, and a block of 8,768 bytes, by its backtrace the HTTP library's queue of requests, which has places for 32; with the attempt's state (2.3 KB) and the connection's it is 29 KB. Change: 30 KiB. Endpoints get 32% of the memory instead of 25, exchanges 36 instead of 38, long heads 9 instead of 10, bodies the rest. A test of the whole process does not force the price: fresh memory is touched only in part.

--- a/client-proxy/src/memory_budget.rs
+++ b/client-proxy/src/memory_budget.rs
@@ -22,17 +22,20 @@
 pub const STREAMED_BODY_BYTES: usize = 72 * 1024;
 /// Memory of one connection at rest, on either side: the socket's state and its task.
 const CONNECTION_BYTES: usize = 4 * 1024;
-/// Memory of one client connection that serves a request, or of one to an endpoint that carries one, beyond that: the
-/// HTTP library's two buffers of 8 KiB each, and the request's fields and state.
-const ACTIVE_CONNECTION_BYTES: usize = 20 * 1024;
+/// Memory of one client connection that serves a request, beyond that: the HTTP library's two buffers of 8 KiB each,
+/// and the request's fields and state.
+const EXCHANGE_BYTES: usize = 20 * 1024;
+/// Memory of one connection to an endpoint that carries a request, beyond that: the same, the HTTP library's queue of
+/// requests with places for 32 of them, and the state of the attempt.
+const ACTIVE_ENDPOINT_BYTES: usize = 30 * 1024;
 /// What a long head takes beyond that: the bytes that were awaited, the growth of the buffer that it is read into, and
 /// of the one from which it is sent to an endpoint, which doubles up to 32 KiB.
 const LONG_HEAD_BYTES: usize = (8 + 8 + 24) * 1024;
 /// Parts of the memory beyond the connections at rest, in percent, that clients' exchanges, their long heads, and
 /// active connections to endpoints get at most.
-const EXCHANGE_PERCENT: usize = 38;
-const LONG_HEAD_PERCENT: usize = 10;
-const ACTIVE_ENDPOINT_PERCENT: usize = 25;
+const EXCHANGE_PERCENT: usize = 36;
+const LONG_HEAD_PERCENT: usize = 9;
+const ACTIVE_ENDPOINT_PERCENT: usize = 32;
 /// While two processes run, each has one of so many parts of what one may use alone. What the old one has used by then
 /// stays resident, so that one part has to fit beside it.
 const PARTS_IN_UPGRADE: usize = 3;
@@ -95,7 +98,7 @@
             false => None,
         };
         let _waiting = Waiting::new(&self.waiting);
-        let exchange = self.exchanges.acquire(ACTIVE_CONNECTION_BYTES).await?;
+        let exchange = self.exchanges.acquire(EXCHANGE_BYTES).await?;
         Some(ExchangePermit { _exchange: exchange, _long_head: long_head })
     }
 
@@ -240,15 +243,17 @@
             1 => unused,
             _ => unused * PARTS_IN_UPGRADE / (PARTS_IN_UPGRADE + 1),
         };
-        let all_active = sockets * ACTIVE_CONNECTION_BYTES;
-        let most_exchanges = all_active * MAX_SIDE_SHARE.0 / MAX_SIDE_SHARE.1;
-        let exchanges = most_exchanges.min(available / 100 * EXCHANGE_PERCENT);
+        let most_of_a_side = sockets * MAX_SIDE_SHARE.0 / MAX_SIDE_SHARE.1;
+        let all_exchanges = most_of_a_side * EXCHANGE_BYTES;
+        let exchanges = all_exchanges.min(available / 100 * EXCHANGE_PERCENT);
+        // All connections are active, and as many of them as possible are to endpoints.
+        let all_active = sockets * EXCHANGE_BYTES + most_of_a_side * (ACTIVE_ENDPOINT_BYTES - EXCHANGE_BYTES);
         let most_endpoints = available / 100 * ACTIVE_ENDPOINT_PERCENT;
         let endpoints = (all_active - exchanges).min(most_endpoints);
         let long_heads = available / 100 * LONG_HEAD_PERCENT;
         let bodies = available.saturating_sub(exchanges + long_heads + endpoints);
-        let endpoint_connections = match exchanges < most_exchanges {
-            true => most_endpoints / ACTIVE_CONNECTION_BYTES,
+        let endpoint_connections = match endpoints < all_active - exchanges {
+            true => endpoints / ACTIVE_ENDPOINT_BYTES,
             false => usize::MAX,
         };
         Shares {
--- a/client-proxy/src/memory_budget/tests.rs
+++ b/client-proxy/src/memory_budget/tests.rs
@@ -33,10 +33,13 @@
         for (program, processes) in [(5 << 20, 1), (7 << 20, 1), (5 << 20, 2), (7 << 20, 2)] {
             let limits = MemoryLimits { total, program, sockets, processes };
             let shares = Shares::new(&limits);
-            let endpoints =
-                shares.endpoint_connections.min(sockets - shares.exchanges.div_ceil(ACTIVE_CONNECTION_BYTES));
-            let alone =
-                shares.exchanges + shares.long_heads + shares.bodies + endpoints * ACTIVE_CONNECTION_BYTES;
+            let most_of_a_side = sockets * MAX_SIDE_SHARE.0 / MAX_SIDE_SHARE.1;
+            let endpoints = shares.endpoint_connections.min(most_of_a_side);
+            let exchanges = (sockets - endpoints).min(shares.exchanges / EXCHANGE_BYTES);
+            let alone = exchanges * EXCHANGE_BYTES
+                + shares.long_heads
+                + shares.bodies
+                + endpoints * ACTIVE_ENDPOINT_BYTES;
             let beside = if processes > 1 { alone / PARTS_IN_UPGRADE } else { 0 };
             let used = processes * program + sockets * CONNECTION_BYTES + alone + beside;
             assert!(used <= total, "{limits:?}: {used}");
