Let a connection to an endpoint rest for 20 ms before it is reused

Cause: a connection was reused as soon as its response was complete. A second copy of that response, 5 ms late, arrived behind the next request and was taken for the response to it; a refusal counts as proof that the request never ran, and the connection was one response behind from then on. HTTP/1.1 has nothing that tells the two apart, so the only sound way is to write nothing while a late copy may be on its way; what arrives while the connection rests closes it, as before.

--- a/client-proxy/src/endpoint_pool/connection.rs
+++ b/client-proxy/src/endpoint_pool/connection.rs
@@ -22,6 +22,10 @@
 use crate::socket_budget::Side;
 use crate::upstream_request::AttemptBody;
 
+/// How long a connection rests after a response before it is reused. An endpoint may send a response once more some
+/// milliseconds later, and behind another request that would be taken for the response to it.
+pub(super) const SETTLE_TIME: Duration = Duration::from_millis(20);
+
 /// An open connection with a request, or for one; closed on drop.
 pub(super) struct PooledConnection {
     pub(super) sender: SendRequest<AttemptBody>,
@@ -124,7 +128,7 @@
         dialed
     }
 
-    /// Takes a healthy connection that has been idle for less than `max_idle`.
+    /// Takes a healthy connection that has rested for [`SETTLE_TIME`], and been idle for less than `max_idle`.
     pub(super) async fn reuse(&self, endpoint: EndpointId, max_idle: Duration) -> Option<PooledConnection> {
         while let Some(idle) = self.pop_idle(endpoint, max_idle) {
             // Nothing was written to it yet, so using another one cannot duplicate the request.
@@ -162,10 +166,14 @@
         PooledConnection::start(stream, Duration::ZERO).await.map_err(|_| Outcome::ConnectFailed)
     }
 
-    /// The connection that became idle last, if it has been idle for less than `max_idle`.
+    /// Of the connections that have been idle for [`SETTLE_TIME`], the one that became idle last, if it has been
+    /// idle for less than `max_idle`.
     pub(super) fn pop_idle(&self, endpoint: EndpointId, max_idle: Duration) -> Option<IdleConnection> {
         let mut endpoints = self.endpoints.borrow_mut();
-        endpoints.get_mut(&endpoint)?.idle.pop_if(|idle| idle.since.elapsed() < max_idle)
+        let idle = &mut endpoints.get_mut(&endpoint)?.idle;
+        let settled = idle.iter().rposition(|idle| idle.since.elapsed() >= SETTLE_TIME)?;
+        let is_fresh = idle[settled].since.elapsed() < max_idle;
+        is_fresh.then(|| idle.remove(settled))
     }
 }
 
