Let a connection to an endpoint rest after refusals alone

Callers would see: fewer requests served in time than before the rest after every response. Change: only a refusal or an error is followed by the rest: behind it the endpoint has no capacity in any case, and its copy is what makes an order run twice. Open: a served response that comes twice still may reach another client.

--- a/client-proxy/src/endpoint_pool/attempt.rs
+++ b/client-proxy/src/endpoint_pool/attempt.rs
@@ -116,7 +116,9 @@
             // The endpoint may respond in the middle of the request. The rest is not sent then, and the
             // request had no effect if the response says so.
             Some(Ok((response, body))) => {
-                let result = match (classify_response(&response), body) {
+                let outcome = classify_response(&response);
+                conn.is_refused = outcome != Outcome::Served;
+                let result = match (outcome, body) {
                     (Outcome::Served, ReadBody::Complete(body, permit)) => {
                         self.return_connection(endpoint, location, conn);
                         served_result(&response, UpstreamBody::Buffered(body), permit)
--- a/client-proxy/src/endpoint_pool/connection.rs
+++ b/client-proxy/src/endpoint_pool/connection.rs
@@ -22,8 +22,8 @@
 use crate::socket_budget::Side;
 use crate::upstream_request::AttemptBody;
 
-/// How long a connection rests after a response before it is reused. An endpoint may send a response once more some
-/// milliseconds later, and behind another request that would be taken for the response to it.
+/// How long a connection rests after a refusal before it is reused. An endpoint may send a refusal once more some
+/// milliseconds later. Behind another request it would be taken for proof that this one was not executed.
 pub(super) const SETTLE_TIME: Duration = Duration::from_millis(20);
 
 /// An open connection with a request, or for one; closed on drop.
@@ -38,6 +38,8 @@
     pub(super) is_kept_alive: bool,
     /// A message may have made the buffers grow.
     pub(super) has_long_message: bool,
+    /// The last response was a refusal or an error.
+    pub(super) is_refused: bool,
 }
 
 /// An open connection at rest; closed on drop.
@@ -48,9 +50,16 @@
     /// As in [`PooledConnection`].
     task: AbortOnDropHandle<bool>,
     pub(super) since: Instant,
+    /// As in [`PooledConnection`].
+    is_refused: bool,
 }
 
 impl IdleConnection {
+    /// Whether no late copy of the last response is to be expected.
+    fn is_settled(&self) -> bool {
+        !self.is_refused || self.since.elapsed() >= SETTLE_TIME
+    }
+
     /// Gives up the buffers.
     pub(super) fn release(&mut self) {
         self.sender = None;
@@ -72,6 +81,7 @@
             idle_for,
             is_kept_alive: true,
             has_long_message: false,
+            is_refused: false,
         })
     }
 }
@@ -86,13 +96,22 @@
             connection.without_shutdown().await.is_ok_and(|parts| parts.read_buf.is_empty())
         });
         let task = AbortOnDropHandle::new(task);
-        Ok(PooledConnection { sender, stream, task, idle_for, is_kept_alive: true, has_long_message: false })
+        Ok(PooledConnection {
+            sender,
+            stream,
+            task,
+            idle_for,
+            is_kept_alive: true,
+            has_long_message: false,
+            is_refused: false,
+        })
     }
 
     /// A connection that waits for its next request. Buffers that may have grown are given up.
     pub(super) fn into_idle(self) -> IdleConnection {
         let sender = Some(self.sender).filter(|_| !self.has_long_message);
-        IdleConnection { stream: self.stream, sender, task: self.task, since: Instant::now() }
+        let (since, is_refused) = (Instant::now(), self.is_refused);
+        IdleConnection { stream: self.stream, sender, task: self.task, since, is_refused }
     }
 }
 
@@ -128,7 +147,7 @@
         dialed
     }
 
-    /// Takes a healthy connection that has rested for [`SETTLE_TIME`], and been idle for less than `max_idle`.
+    /// Takes a healthy connection that has been idle for less than `max_idle`.
     pub(super) async fn reuse(&self, endpoint: EndpointId, max_idle: Duration) -> Option<PooledConnection> {
         while let Some(idle) = self.pop_idle(endpoint, max_idle) {
             // Nothing was written to it yet, so using another one cannot duplicate the request.
@@ -166,14 +185,13 @@
         PooledConnection::start(stream, Duration::ZERO).await.map_err(|_| Outcome::ConnectFailed)
     }
 
-    /// Of the connections that have been idle for [`SETTLE_TIME`], the one that became idle last, if it has been
-    /// idle for less than `max_idle`.
+    /// The connection that became idle last, of those that may be reused now and have been idle for less than
+    /// `max_idle`.
     pub(super) fn pop_idle(&self, endpoint: EndpointId, max_idle: Duration) -> Option<IdleConnection> {
         let mut endpoints = self.endpoints.borrow_mut();
         let idle = &mut endpoints.get_mut(&endpoint)?.idle;
-        let settled = idle.iter().rposition(|idle| idle.since.elapsed() >= SETTLE_TIME)?;
-        let is_fresh = idle[settled].since.elapsed() < max_idle;
-        is_fresh.then(|| idle.remove(settled))
+        let newest = idle.iter().rposition(IdleConnection::is_settled)?;
+        (idle[newest].since.elapsed() < max_idle).then(|| idle.remove(newest))
     }
 }
 
--- a/client-proxy/src/endpoint_pool/tests.rs
+++ b/client-proxy/src/endpoint_pool/tests.rs
@@ -9,7 +9,6 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::connection::SETTLE_TIME;
 use super::*;
 use crate::monitored_stream::MonitoredStream;
 use crate::socket_budget::Side;
@@ -45,12 +44,6 @@
     }
 }
 
-/// Waits until connections that became idle are reused.
-async fn wait_until_reusable() {
-    wait_until_idle().await;
-    sleep(SETTLE_TIME).await;
-}
-
 /// What arrives on an idle connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Input {
@@ -96,7 +89,7 @@
         let request = Rc::new(UpstreamRequest::empty(Duration::from_secs(20)));
         let result = endpoints.attempt(endpoint, &request, None).await;
         assert_eq!(body(&result), b"first");
-        wait_until_reusable().await;
+        wait_until_idle().await;
         release.send(()).expect("the server thread has ended");
         // From here on the runtime does not poll any socket until the connection is taken from the pool.
         while endpoints.endpoints.borrow()[&endpoint].idle[0].stream.is_quiet() {
@@ -200,7 +193,7 @@
                 body(&endpoints.attempt(endpoint, &Rc::new(UpstreamRequest::empty(long)), None).await),
                 b"first"
             );
-            wait_until_reusable().await;
+            wait_until_idle().await;
             let deadline =
                 if matches!(departure, Departure::DeadlinePassed) { Duration::from_millis(40) } else { long };
             let (stream, peer) = client();
