Serve the accept queue until it is empty, also when SIGKILL is imminent

Cause: drain_accept_queue ended when SIGKILL was imminent, and after 1,024 connections, and the listener was closed over what was left. A log line says what the queue held. Result: accept_queue_is_served_when_kill_is_imminent failed before.

--- a/client-proxy/src/accept.rs
+++ b/client-proxy/src/accept.rs
@@ -17,6 +17,8 @@
 /// Backoff after a failed `accept`, and its maximum after several failures in a row.
 const MIN_ACCEPT_BACKOFF: Duration = Duration::from_millis(1);
 const MAX_ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+/// How long connections are accepted after SIGKILL has become imminent.
+const LAST_ACCEPT_PERIOD: Duration = Duration::from_secs(1);
 /// Length of the kernel's accept queue.
 const ACCEPT_QUEUE: u32 = 1024;
 
@@ -93,33 +95,50 @@
 /// Accepts the connections that the kernel has completed but the accept loop has not taken. Closing the
 /// listener over them would reset them and lose their requests.
 ///
-/// Ends only when the queue is empty, whatever other error `accept` returns; without a free slot it waits
-/// until another connection has ended. It accepts at most as many connections as the queue can hold, and none
-/// once the process is about to be killed, so that clients that keep reconnecting do not prevent the exit.
+/// Goes on until the queue is empty, whatever other error `accept` returns; without a free slot it waits until another
+/// connection has ended. Once SIGKILL is imminent connections are still accepted, as each request gets its final
+/// response at once, but for [`LAST_ACCEPT_PERIOD`] at most and up to the first error, so that clients that keep
+/// reconnecting do not prevent the exit.
 pub(crate) async fn drain_accept_queue(
     mut accept: impl FnMut() -> io::Result<TcpStream>,
     context: &ClientContext,
     serve_connection: impl Fn(TcpStream, SocketPermit),
 ) {
+    let kill_imminent = &context.shutdown.kill_imminent;
+    let mut accepted = 0;
     let drained = async {
-        let (mut backoff, mut accepted) = (AcceptBackoff::default(), 0);
-        while accepted <= ACCEPT_QUEUE {
+        let mut backoff = AcceptBackoff::default();
+        loop {
             let slot = acquire_client_slot(context).await;
             match accept() {
                 Ok(stream) => {
                     serve_connection(stream, slot);
                     accepted += 1;
                     backoff = AcceptBackoff::default();
+                    // Requests are served between two connections, however many there are.
+                    tokio::task::yield_now().await;
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Err(_) => backoff.wait().await,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(_) if kill_imminent.is_cancelled() => return false,
+                Err(_) => tokio::select! {
+                    _ = backoff.wait() => {}
+                    _ = kill_imminent.cancelled() => {}
+                },
             }
         }
     };
-    tokio::select! {
+    let time_over = async {
+        kill_imminent.cancelled().await;
+        sleep(LAST_ACCEPT_PERIOD).await;
+        false
+    };
+    let is_empty = tokio::select! {
         biased;
-        _ = context.shutdown.kill_imminent.cancelled() => {}
-        _ = drained => {}
+        is_empty = drained => is_empty,
+        is_empty = time_over => is_empty,
+    };
+    if accepted > 0 || !is_empty {
+        tracing::info!(accepted, is_empty, "accept queue closed");
     }
 }
 
--- a/client-proxy/src/accept/tests.rs
+++ b/client-proxy/src/accept/tests.rs
@@ -105,3 +105,35 @@
         assert_eq!(statuses(client), ["200"]);
     });
 }
+
+/// Connections that still wait for a socket when SIGKILL is imminent must get a final response: they would be reset
+/// with the listener, and their requests lost.
+#[test]
+fn accept_queue_is_served_when_kill_is_imminent() {
+    run(async {
+        let mut context = Rc::into_inner(context()).expect("the context is shared");
+        context.sockets = SocketBudget::new(0, 0);
+        let shutdown = context.shutdown.clone();
+        let listener =
+            listen("127.0.0.1:0".parse().expect("invalid address")).expect("could not bind a loopback port");
+        let address = listener.local_addr().expect("no local address");
+        let mut permits = Vec::new();
+        while let Some(slot) = context.sockets.try_acquire(Side::Client) {
+            permits.push(slot);
+        }
+        let mut client = std::net::TcpStream::connect(address).expect("could not connect");
+        client.write_all(READY_REQUEST.as_bytes()).expect("could not write");
+        shutdown.draining.cancel();
+        let serving = tokio::task::spawn_local(serve(listener, Rc::new(context)));
+        for _ in 0..10 {
+            yield_now().await;
+        }
+        shutdown.kill_imminent.cancel();
+        for _ in 0..10 {
+            yield_now().await;
+        }
+        drop(permits);
+        serving.await.expect("another task or thread panicked");
+        assert_eq!(statuses(client), ["200"]);
+    });
+}
