--- a/client-proxy/tests/common/client.rs
+++ b/client-proxy/tests/common/client.rs
@@ -58,3 +58,11 @@
 pub fn wait_until_processed(proxy: &Proxy) {
     assert_eq!(proxy.client().round_trip(READY_REQUEST).status(), 200);
 }
+
+/// Asserts that the next ten responses all come from the upstream of this name.
+pub fn assert_served_by(client: &mut Client, name: &str) {
+    for _ in 0..10 {
+        let body = client.round_trip(&look_request(3000)).body;
+        assert_eq!(String::from_utf8_lossy(&body), name);
+    }
+}
--- a/client-proxy/tests/common/upstream.rs
+++ b/client-proxy/tests/common/upstream.rs
@@ -194,3 +194,8 @@
         bytes
     }
 }
+
+/// An upstream whose responses have its name as their body.
+pub fn named_upstream(name: &'static str) -> Upstream {
+    Upstream::start(move |_| Reply::Send(http_response("200 OK", "", name)))
+}
