Leave the memory of exchanges that clients do not need to bodies

Cause: with the price of connections to endpoints exchanges had 36% of the memory wherever descriptors are not scarcer than memory. At 48 MB and 1,024 descriptors that is 664 exchanges, where clients may use 341, and bodies had 8.7 MB instead of 13.7. Change: two fifths of the descriptors' number of exchanges have up to 36%, those beyond 22%. Bodies have 13.6 MB there. At 32 MB nothing changes.

--- a/client-proxy/src/memory_budget.rs
+++ b/client-proxy/src/memory_budget.rs
@@ -32,10 +32,14 @@
 /// of the one from which it is sent to an endpoint, which doubles up to 32 KiB.
 const LONG_HEAD_BYTES: usize = (8 + 8 + 24) * 1024;
 /// Parts of the memory beyond the connections at rest, in percent, that clients' exchanges, their long heads, and
-/// active connections to endpoints get at most.
-const EXCHANGE_PERCENT: usize = 36;
+/// active connections to endpoints get at most. Exchanges beyond [`NEEDED_EXCHANGES`] get a smaller part, which leaves
+/// more for bodies.
+const NEEDED_EXCHANGE_PERCENT: usize = 36;
+const EXCHANGE_PERCENT: usize = 22;
 const LONG_HEAD_PERCENT: usize = 9;
 const ACTIVE_ENDPOINT_PERCENT: usize = 32;
+/// Exchanges as a part of all connections that clients need: their requests use a third of the descriptors at most.
+const NEEDED_EXCHANGES: (usize, usize) = (2, 5);
 /// While two processes run, each has one of so many parts of what one may use alone. What the old one has used by then
 /// stays resident, so that one part has to fit beside it.
 const PARTS_IN_UPGRADE: usize = 3;
@@ -245,7 +249,11 @@
         };
         let most_of_a_side = sockets * MAX_SIDE_SHARE.0 / MAX_SIDE_SHARE.1;
         let all_exchanges = most_of_a_side * EXCHANGE_BYTES;
-        let exchanges = all_exchanges.min(available / 100 * EXCHANGE_PERCENT);
+        let needed_exchanges = sockets * NEEDED_EXCHANGES.0 / NEEDED_EXCHANGES.1 * EXCHANGE_BYTES;
+        let exchanges = needed_exchanges
+            .min(available / 100 * NEEDED_EXCHANGE_PERCENT)
+            .max(available / 100 * EXCHANGE_PERCENT)
+            .min(all_exchanges);
         // All connections are active, and as many of them as possible are to endpoints.
         let all_active = sockets * EXCHANGE_BYTES + most_of_a_side * (ACTIVE_ENDPOINT_BYTES - EXCHANGE_BYTES);
         let most_endpoints = available / 100 * ACTIVE_ENDPOINT_PERCENT;
