Set up the client without a free socket once in the tests of accept

Need: two tests had the same nine lines before what they are about. The pool's settle time is used in its own module alone since refusals decide on the rest, so it is private.

--- a/client-proxy/src/accept/tests.rs
+++ b/client-proxy/src/accept/tests.rs
@@ -79,28 +79,36 @@
     });
 }
 
+/// A context without a free socket for clients until the slots are dropped, and a listener with a client that waits.
+fn client_without_socket() -> (ClientContext, Vec<SocketPermit>, TcpListener, std::net::TcpStream) {
+    let mut context = Rc::into_inner(context()).expect("the context is shared");
+    context.sockets = SocketBudget::new(0, 0);
+    let slots = std::iter::from_fn(|| context.sockets.try_acquire(Side::Client)).collect();
+    let listener =
+        listen("127.0.0.1:0".parse().expect("invalid address")).expect("could not bind a loopback port");
+    let address = listener.local_addr().expect("no local address");
+    let mut client = std::net::TcpStream::connect(address).expect("could not connect");
+    client.write_all(READY_REQUEST.as_bytes()).expect("could not write");
+    (context, slots, listener, client)
+}
+
+/// Gives other tasks time for what they can do now.
+async fn yield_to_others() {
+    for _ in 0..10 {
+        yield_now().await;
+    }
+}
+
 /// Connections must not be closed unread only because no socket is free at the moment: they are accepted as
 /// others end.
 #[test]
 fn accept_queue_waits_for_socket_at_shutdown() {
     run(async {
-        let mut context = Rc::into_inner(context()).expect("the context is shared");
-        context.sockets = SocketBudget::new(0, 0);
-        let listener =
-            listen("127.0.0.1:0".parse().expect("invalid address")).expect("could not bind a loopback port");
-        let address = listener.local_addr().expect("no local address");
-        let mut permits = Vec::new();
-        while let Some(slot) = context.sockets.try_acquire(Side::Client) {
-            permits.push(slot);
-        }
-        let mut client = std::net::TcpStream::connect(address).expect("could not connect");
-        client.write_all(READY_REQUEST.as_bytes()).expect("could not write");
+        let (context, slots, listener, client) = client_without_socket();
         context.shutdown.draining.cancel();
         let serving = tokio::task::spawn_local(serve(listener, Rc::new(context)));
-        for _ in 0..10 {
-            yield_now().await;
-        }
-        drop(permits);
+        yield_to_others().await;
+        drop(slots);
         serving.await.expect("another task or thread panicked");
         assert_eq!(statuses(client), ["200"]);
     });
@@ -111,28 +119,14 @@
 #[test]
 fn accept_queue_is_served_when_kill_is_imminent() {
     run(async {
-        let mut context = Rc::into_inner(context()).expect("the context is shared");
-        context.sockets = SocketBudget::new(0, 0);
+        let (context, slots, listener, client) = client_without_socket();
         let shutdown = context.shutdown.clone();
-        let listener =
-            listen("127.0.0.1:0".parse().expect("invalid address")).expect("could not bind a loopback port");
-        let address = listener.local_addr().expect("no local address");
-        let mut permits = Vec::new();
-        while let Some(slot) = context.sockets.try_acquire(Side::Client) {
-            permits.push(slot);
-        }
-        let mut client = std::net::TcpStream::connect(address).expect("could not connect");
-        client.write_all(READY_REQUEST.as_bytes()).expect("could not write");
         shutdown.draining.cancel();
         let serving = tokio::task::spawn_local(serve(listener, Rc::new(context)));
-        for _ in 0..10 {
-            yield_now().await;
-        }
+        yield_to_others().await;
         shutdown.kill_imminent.cancel();
-        for _ in 0..10 {
-            yield_now().await;
-        }
-        drop(permits);
+        yield_to_others().await;
+        drop(slots);
         serving.await.expect("another task or thread panicked");
         assert_eq!(statuses(client), ["200"]);
     });
--- a/client-proxy/src/endpoint_pool/connection.rs
+++ b/client-proxy/src/endpoint_pool/connection.rs
@@ -24,7 +24,7 @@
 
 /// How long a connection rests after a refusal before it is reused. An endpoint may send a refusal once more some
 /// milliseconds later. Behind another request it would be taken for proof that this one was not executed.
-pub(super) const SETTLE_TIME: Duration = Duration::from_millis(20);
+const SETTLE_TIME: Duration = Duration::from_millis(20);
 
 /// An open connection with a request, or for one; closed on drop.
 pub(super) struct PooledConnection {
