Go on behind an aborted connection when SIGKILL is imminent

Callers would see: requests that wait in the accept queue reset as the process ends, because one client before them has given up. Cause: once SIGKILL is imminent, drain_accept_queue ended at the first error of accept, found by reading the change again. ECONNABORTED says nothing about the connections behind it, and an interrupted call neither.

--- a/client-proxy/src/accept.rs
+++ b/client-proxy/src/accept.rs
@@ -97,8 +97,8 @@
 ///
 /// Goes on until the queue is empty, whatever other error `accept` returns; without a free slot it waits until another
 /// connection has ended. Once SIGKILL is imminent connections are still accepted, as each request gets its final
-/// response at once, but for [`LAST_ACCEPT_PERIOD`] at most and up to the first error, so that clients that keep
-/// reconnecting do not prevent the exit.
+/// response at once, but for [`LAST_ACCEPT_PERIOD`] at most and up to the first error of the system, so that clients
+/// that keep reconnecting do not prevent the exit.
 pub(crate) async fn drain_accept_queue(
     mut accept: impl FnMut() -> io::Result<TcpStream>,
     context: &ClientContext,
@@ -119,11 +119,10 @@
                     tokio::task::yield_now().await;
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return true,
-                Err(_) if kill_imminent.is_cancelled() => return false,
-                Err(_) => tokio::select! {
-                    _ = backoff.wait() => {}
-                    _ = kill_imminent.cancelled() => {}
-                },
+                Err(error) if kill_imminent.is_cancelled() && !concerns_one_connection(&error) => {
+                    return false;
+                }
+                Err(_) => backoff.wait().await,
             }
         }
     };
@@ -142,6 +141,11 @@
     }
 }
 
+/// Whether `accept` failed for a connection that its client has given up, or was interrupted: the next one may succeed.
+fn concerns_one_connection(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted)
+}
+
 /// Accepts the next connection. Records in `last_empty` when the kernel's queue was last known to be empty:
 /// the runtime wakes this task as soon as a connection arrives.
 async fn accept(listener: &TcpListener, last_empty: &Cell<Instant>) -> io::Result<TcpStream> {
--- a/client-proxy/src/accept/tests.rs
+++ b/client-proxy/src/accept/tests.rs
@@ -131,3 +131,18 @@
         assert_eq!(statuses(client), ["200"]);
     });
 }
+
+/// A client that gives up while it waits must not take the listener away from those behind it.
+#[test]
+fn aborted_connection_leaves_no_client_when_kill_is_imminent() {
+    run(async {
+        let (context, slots, listener, _client) = client_without_socket();
+        drop(slots);
+        context.shutdown.kill_imminent.cancel();
+        let mut errors = [io::ErrorKind::ConnectionAborted, io::ErrorKind::Interrupted].into_iter();
+        let accept = || errors.next().map_or_else(|| accept_now(&listener), |kind| Err(kind.into()));
+        let accepted = Cell::new(0);
+        drain_accept_queue(accept, &context, |_, _| accepted.set(accepted.get() + 1)).await;
+        assert_eq!(accepted.get(), 1);
+    });
+}
