Name what a connection's last check and rest are for

Need: a query for a hang-up was called for its side effect alone, that it reads ahead, and is_refused also stood for errors. Change: query_read_ahead returns how much has arrived; the flag is needs_rest. Behaviour stays.

--- a/client-proxy/src/clients/connection.rs
+++ b/client-proxy/src/clients/connection.rs
@@ -137,11 +137,8 @@
             Arrival::End => Err(Next::Close(CloseReason::ByClient)),
         },
         _ = conn.wait_for_head_timeout() => Err(Next::Abort(CloseReason::HeadTimeout)),
-        _ = wait_until_closable(conn, shutdown) => {
-            // On a new connection the runtime has not been notified of what arrived before.
-            conn.stream.query_hang_up();
-            Err(Next::Serve { unread: conn.stream.put_back(&[]) })
-        }
+        // On a new connection the runtime has not been notified of what arrived before.
+        _ = wait_until_closable(conn, shutdown) => Err(Next::Serve { unread: conn.stream.query_read_ahead() }),
     }
 }
 
--- a/client-proxy/src/endpoint_pool/attempt.rs
+++ b/client-proxy/src/endpoint_pool/attempt.rs
@@ -117,7 +117,7 @@
             // request had no effect if the response says so.
             Some(Ok((response, body))) => {
                 let outcome = classify_response(&response);
-                conn.is_refused = outcome != Outcome::Served;
+                conn.needs_rest = outcome != Outcome::Served;
                 let result = match (outcome, body) {
                     (Outcome::Served, ReadBody::Complete(body, permit)) => {
                         self.return_connection(endpoint, location, conn);
--- a/client-proxy/src/endpoint_pool/connection.rs
+++ b/client-proxy/src/endpoint_pool/connection.rs
@@ -38,8 +38,8 @@
     pub(super) is_kept_alive: bool,
     /// A message may have made the buffers grow.
     pub(super) has_long_message: bool,
-    /// The last response was a refusal or an error.
-    pub(super) is_refused: bool,
+    /// The last response was a refusal or an error, of which a late copy may follow.
+    pub(super) needs_rest: bool,
 }
 
 /// An open connection at rest; closed on drop.
@@ -51,13 +51,13 @@
     task: AbortOnDropHandle<bool>,
     pub(super) since: Instant,
     /// As in [`PooledConnection`].
-    is_refused: bool,
+    needs_rest: bool,
 }
 
 impl IdleConnection {
     /// Whether no late copy of the last response is to be expected.
     fn is_settled(&self) -> bool {
-        !self.is_refused || self.since.elapsed() >= SETTLE_TIME
+        !self.needs_rest || self.since.elapsed() >= SETTLE_TIME
     }
 
     /// Gives up the buffers.
@@ -81,7 +81,7 @@
             idle_for,
             is_kept_alive: true,
             has_long_message: false,
-            is_refused: false,
+            needs_rest: false,
         })
     }
 }
@@ -103,15 +103,15 @@
             idle_for,
             is_kept_alive: true,
             has_long_message: false,
-            is_refused: false,
+            needs_rest: false,
         })
     }
 
     /// A connection that waits for its next request. Buffers that may have grown are given up.
     pub(super) fn into_idle(self) -> IdleConnection {
         let sender = Some(self.sender).filter(|_| !self.has_long_message);
-        let (since, is_refused) = (Instant::now(), self.is_refused);
-        IdleConnection { stream: self.stream, sender, task: self.task, since, is_refused }
+        let (since, needs_rest) = (Instant::now(), self.needs_rest);
+        IdleConnection { stream: self.stream, sender, task: self.task, since, needs_rest }
     }
 }
 
--- a/client-proxy/src/monitored_stream/hang_up.rs
+++ b/client-proxy/src/monitored_stream/hang_up.rs
@@ -34,6 +34,12 @@
         self.poll_read_closed().then_some(HangUp::Closed)
     }
 
+    /// Number of bytes that are read ahead, with those that the system has now, up to the limit.
+    pub fn query_read_ahead(&self) -> usize {
+        self.query_hang_up();
+        self.read_ahead_buffer.borrow().length
+    }
+
     /// The status of the peer, asked of the system now.
     pub fn query_status(&self) -> PeerStatus {
         match self.query_hang_up() {
